--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Each target sets up its own virtual environment in .venv.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+PACKAGES := coordination kernel daemon cli testsupport
+
+.PHONY: setup test lint format demo faults bench slopes
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.lock
+	$(BIN)/python -m pip install --quiet --no-build-isolation --no-deps \
+		$(foreach package,$(PACKAGES),--editable packages/$(package))
+	touch $@
+
+test: $(STAMP)
+	$(BIN)/python tools/runtests.py
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet packages tools
+	$(BIN)/ruff check --quiet packages tools
+
+format: $(STAMP)
+	$(BIN)/black --quiet packages tools
+	$(BIN)/ruff check --quiet --fix packages tools
+
+demo: $(STAMP)
+	$(BIN)/python -m coltsfoothead.testsupport.demo
+
+faults: $(STAMP)
+	$(BIN)/python -m coltsfoothead.testsupport.faults
+
+bench: $(STAMP)
+	$(BIN)/python tools/bench.py
+
+slopes: $(STAMP)
+	$(BIN)/python tools/slopes.py
--- /dev/null
+++ b/packages/cli/src/coltsfoothead/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The coltsfoothead command line for operators."""
--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Embeddable coordination: replicated log, leases, ledger, membership, request guard."""
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The coltsfootheadd serving daemon."""
