--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/settings.py
@@ -0,0 +1,199 @@
+"""Settings of one daemon, read from a TOML file."""
+
+import pathlib
+from typing import Annotated
+
+import msgspec
+
+from coltsfoothead.daemon import errors
+
+__all__ = ["Settings", "decode", "load", "split_address"]
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Address = Annotated[
+    str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
+]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Bytes = Annotated[int, msgspec.Meta(ge=1)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class _Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Base of the tables of the file; unknown keys are refused."""
+
+
+class Daemon(_Table):
+    """Who this daemon is and where it runs."""
+
+    id: Name
+    cluster: Name
+    region: Name
+    zone: Name
+    vm: Name
+    data_folder: str | None = None
+
+
+class Listen(_Table):
+    """Addresses to listen on, as IP:port; port 0 lets the system choose."""
+
+    callers: Address
+    upstreams: Address
+    operators: Address
+    peers: Address
+
+
+class Voter(_Table):
+    """A founding voter of the cluster."""
+
+    id: Name
+    address: Address
+    zone: Name
+
+
+class Cluster(_Table):
+    """How this daemon finds the others; all lists empty means a single node."""
+
+    advertise: Address | None = None
+    founders: tuple[Voter, ...] = ()
+    seeds: tuple[Address, ...] = ()
+    require_zone_spread: bool = True
+
+
+class Operators(_Table):
+    """Access for operators: a file that holds the bearer token."""
+
+    token_file: str
+
+
+class Limits(_Table):
+    """Bounds on what one caller may send."""
+
+    body_bytes: Bytes = 4 * 1024 * 1024
+    header_bytes: Bytes = 32 * 1024
+    connections: Count = 4096
+    answer_store_bytes: Bytes = 32 * 1024 * 1024
+
+
+class Timeouts(_Table):
+    """Bounds on time, all in seconds."""
+
+    receive_seconds: Seconds = 15.0
+    idle_seconds: Seconds = 75.0
+    connect_seconds: Seconds = 2.0
+    stream_silence_seconds: Seconds = 3.0
+    request_seconds: Seconds = 900.0
+    caller_heartbeat_seconds: Seconds = 5.0
+    drain_seconds: Seconds = 60.0
+    proposal_seconds: Seconds = 3.0
+    answer_retention_seconds: Seconds = 600.0
+    counters_seconds: Seconds = 30.0
+
+
+class Guard(_Table):
+    """Replication of accepted requests; `required` refuses work when no guard can be had."""
+
+    required: bool = True
+
+
+class Platform(_Table):
+    """The platform's interface; without `notice_url` no reclaim notices are read."""
+
+    notice_url: str | None = None
+    poll_seconds: Seconds = 1.0
+    cloud_url: str | None = None
+
+
+class Settings(_Table):
+    """All settings of one daemon."""
+
+    daemon: Daemon
+    listen: Listen
+    operators: Operators
+    cluster: Cluster = Cluster()
+    limits: Limits = Limits()
+    timeouts: Timeouts = Timeouts()
+    guard: Guard = Guard()
+    platform: Platform = Platform()
+
+    @property
+    def founder(self) -> Voter | None:
+        """The entry of this daemon among the founding voters, or None."""
+        own = (voter for voter in self.cluster.founders if voter.id == self.daemon.id)
+        return next(own, None)
+
+    @property
+    def single_node(self) -> bool:
+        """Whether this daemon forms a cluster of its own."""
+        return not self.cluster.founders and not self.cluster.seeds
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or is malformed.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(str(path), "$", f"cannot be read: {error}") from error
+    return decode(text, str(path))
+
+
+def decode(text: str, source: str) -> Settings:
+    """Decodes and checks the text of a settings file.
+
+    Raises
+    ------
+    SettingsError
+        Naming the file, the key and what was expected.
+    """
+    try:
+        settings = msgspec.toml.decode(text, type=Settings)
+    except msgspec.ValidationError as error:
+        problem, _, key = str(error).partition(" - at ")
+        raise errors.SettingsError(source, key.strip("`") or "$", problem) from error
+    except msgspec.DecodeError as error:
+        raise errors.SettingsError(source, "$", f"not valid TOML: {error}") from error
+    _check(settings, source)
+    return settings
+
+
+def _check(settings: Settings, source: str) -> None:
+    for name in Listen.__struct_fields__:
+        _check_port(getattr(settings.listen, name), f"$.listen.{name}", source)
+    if settings.founder and settings.daemon.data_folder is None:
+        problem = "a founding voter needs a data folder"
+        raise errors.SettingsError(source, "$.daemon.data_folder", problem)
+    if settings.single_node and settings.daemon.data_folder is None:
+        problem = "a single node needs a data folder"
+        raise errors.SettingsError(source, "$.daemon.data_folder", problem)
+    founders = [voter.id for voter in settings.cluster.founders]
+    if len(set(founders)) != len(founders):
+        raise errors.SettingsError(source, "$.cluster.founders", "an id is listed twice")
+    _check_spread(settings, source)
+
+
+def _check_port(address: str, key: str, source: str) -> None:
+    host, port = split_address(address)
+    if port > 65535 or any(int(part) > 255 for part in host.split(".") if part.isdigit()):
+        raise errors.SettingsError(source, key, f"expected IP:port, got {address!r}")
+
+
+def _check_spread(settings: Settings, source: str) -> None:
+    voters = settings.cluster.founders
+    if not settings.cluster.require_zone_spread or len(voters) < 3:
+        return
+    zones = [voter.zone for voter in voters]
+    for zone in set(zones):
+        if 2 * zones.count(zone) > len(zones):
+            problem = f"zone {zone!r} holds a majority of the voters"
+            raise errors.SettingsError(source, "$.cluster.founders", problem)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of an ``IP:port`` address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
