--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -0,0 +1,292 @@
+"""Composes the daemon: starts its tasks, waits for a reason to stop, drains, stops."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import time
+
+from absl import logging
+
+from coltsfoothead.coordination import errors as coordination_errors
+from coltsfoothead.coordination.membership import members as members_module
+from coltsfoothead.coordination.membership import swim
+from coltsfoothead.coordination.membership import task as membership_task
+from coltsfoothead.coordination.transport import links as links_module
+from coltsfoothead.daemon import errors, metrics, platform, readiness
+from coltsfoothead.daemon import settings as settings_module
+from coltsfoothead.daemon.callers import frontend
+from coltsfoothead.daemon.control import configuration, leases, loghost, proposer
+from coltsfoothead.daemon.http import client as http_client
+from coltsfoothead.daemon.http import server
+from coltsfoothead.daemon.operators import api, state
+from coltsfoothead.daemon.serving import traffic
+from coltsfoothead.daemon.upstreams import announcements, directorytask
+from coltsfoothead.kernel import plugins
+
+__all__ = ["App", "run"]
+
+STOP_GRACE_SECONDS = 2.0
+
+
+async def run(settings: settings_module.Settings) -> int:
+    """Runs a daemon until it is told to stop; returns the process's exit code."""
+    plugins.load()
+    app = App(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, app.stop_soon, settings.timeouts.drain_seconds)
+    try:
+        await app.start()
+        await app.wait()
+        await app.drain()
+    except coordination_errors.CoordinationError as error:
+        raise errors.DaemonError(f"{type(error).__name__}: {error}") from error
+    finally:
+        await app.stop()
+    return 0
+
+
+class App:
+    """One daemon.
+
+    Parameters
+    ----------
+    settings : Settings
+    """
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self._settings = settings
+        self._clock = time.monotonic
+        self._rng = random.Random()
+        # Grows with every start, so that peers tell this process from its predecessor.
+        self._incarnation = time.time_ns() // 1_000_000
+        self._metrics = metrics.Metrics()
+        self._readiness = readiness.Readiness()
+        self._stopping = asyncio.Event()
+        self._drain_deadline = 0.0
+        self._tasks: list[asyncio.Task[object]] = []
+        self._started: list[object] = []
+        own = settings.daemon
+        self._links = links_module.Links(
+            own.cluster, own.id, self._incarnation, settings.listen.peers, rng=self._rng
+        )
+        self._client = http_client.Client(settings.timeouts.connect_seconds)
+
+    def stop_soon(self, seconds: float) -> None:
+        """Begins a graceful stop that may take `seconds`; a shorter time replaces a longer one."""
+        deadline = self._clock() + seconds
+        if not self._stopping.is_set() or deadline < self._drain_deadline:
+            self._drain_deadline = deadline
+        self._stopping.set()
+
+    async def start(self) -> None:
+        """Starts everything; returns once the listeners are bound."""
+        self._peers_address = await self._links.start()
+        await self._start_control()
+        await self._start_serving()
+        await self._start_listeners()
+        self._spawn(self._count_periodically())
+        self._spawn(self._watch_notices())
+        logging.info("daemon %s: started", self._settings.daemon.id)
+
+    async def wait(self) -> None:
+        """Waits for a reason to stop.
+
+        Raises
+        ------
+        DaemonError
+            If a task failed without which the daemon may not go on.
+        """
+        stopping = asyncio.ensure_future(self._stopping.wait())
+        failures = [self._spawn(self._watch_log(name)) for name in self._logs.tasks]
+        done, _ = await asyncio.wait(
+            [stopping, *self._tasks, *failures], return_when=asyncio.FIRST_COMPLETED
+        )
+        stopping.cancel()
+        for task in done - {stopping}:
+            task.result()
+
+    async def drain(self) -> None:
+        """Refuses new work and waits for the running requests, within the drain's time."""
+        logging.info("daemon %s: draining", self._settings.daemon.id)
+        self._readiness.drain()
+        await self._logs.hand_over()
+        await self._capacity_lease.release()
+        await self._traffic.drain(self._drain_deadline)
+
+    async def stop(self) -> None:
+        """Stops what was started, the listeners first."""
+        for listener in self._listeners if hasattr(self, "_listeners") else ():
+            await listener.stop(STOP_GRACE_SECONDS)
+        if hasattr(self, "_traffic"):
+            await self._traffic.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if hasattr(self, "_membership"):
+            await self._membership.leave()
+        if hasattr(self, "_logs"):
+            await self._logs.stop()
+        await self._links.stop(STOP_GRACE_SECONDS)
+        self._client.close()
+        logging.info("daemon %s: stopped", self._settings.daemon.id)
+
+    async def _start_control(self) -> None:
+        settings = self._settings
+        own = settings.daemon
+        advertise = settings.cluster.advertise or self._peers_address
+        founders = {each.id: (each.address, each.zone) for each in settings.cluster.founders}
+        if settings.single_node:
+            founders = {own.id: (advertise, own.zone)}
+        folder = pathlib.Path(own.data_folder) if own.data_folder else None
+        self._logs = loghost.LogHost(
+            folder,
+            own.cluster,
+            own.id,
+            founders,
+            self._links,
+            self._clock,
+            self._rng,
+            settings.cluster.require_zone_spread and not settings.single_node,
+        )
+        record = members_module.Member(
+            own.id,
+            advertise,
+            own.region,
+            own.zone,
+            self._incarnation,
+            voter=folder is not None,
+            metadata={"vm": own.vm},
+        )
+        seeds = [*settings.cluster.seeds, *(address for address, _ in founders.values())]
+        detector = swim.Detector(record, self._clock(), self._rng)
+        self._membership = membership_task.Membership(self._links, detector, seeds, self._clock)
+        self._tasks.append(self._membership.start())
+        await self._logs.start()
+        self._proposer = proposer.Proposer(
+            self._logs,
+            self._links,
+            own.id,
+            self._live_voters,
+            settings.timeouts.proposal_seconds,
+            self._clock,
+            self._rng,
+        )
+        self._configuration = configuration.Configuration(
+            own.id,
+            self._logs,
+            self._links,
+            self._proposer,
+            lambda: self._membership.members,
+            self._configuration_changed,
+            self._clock,
+        )
+        self._readiness.set_configuration(self._configuration)
+        self._capacity_lease = leases.HeldLease(
+            "capacity", own.id, self._incarnation, 10.0, self._proposer, self._clock
+        )
+        self._spawn(self._configuration.run())
+        self._spawn(leases.keep_leases(self._logs, self._proposer, self._clock))
+        if folder is not None:
+            self._spawn(self._capacity_lease.run())
+
+    async def _start_serving(self) -> None:
+        self._directory = directorytask.DirectoryTask(
+            self._links, lambda: self._membership.members, self._clock
+        )
+        self._spawn(self._directory.run())
+        self._traffic = traffic.Traffic(
+            self._settings,
+            self._incarnation,
+            self._links,
+            self._client,
+            self._proposer,
+            self._directory.directory,
+            self._membership,
+            self._readiness,
+            self._metrics,
+            self._clock,
+            self._rng,
+        )
+        await self._traffic.start()
+
+    async def _start_listeners(self) -> None:
+        limits, timeouts, listen = (
+            self._settings.limits,
+            self._settings.timeouts,
+            self._settings.listen,
+        )
+        bounds = server.Bounds(
+            limits.body_bytes,
+            limits.header_bytes,
+            timeouts.receive_seconds,
+            timeouts.idle_seconds,
+            limits.connections,
+        )
+        view = state.DaemonView(
+            self._settings,
+            self._incarnation,
+            self._logs,
+            self._proposer,
+            self._configuration,
+            lambda: self._membership.members,
+            self._directory.directory,
+            self._traffic,
+            self._readiness,
+            self._metrics,
+            self._capacity_lease,
+            self._clock,
+        )
+        operators = api.OperatorsApi(
+            view, api.read_token(self._settings.operators.token_file), self.stop_soon
+        )
+        handlers = {
+            "upstreams": announcements.Announcements(self._directory.renew).handle,
+            "operators": operators.handle,
+            "callers": frontend.Frontend(self._traffic.routes(), self._metrics).handle,
+        }
+        self._listeners = []
+        for name, handler in handlers.items():
+            listener = server.Server(handler, frontend.encode_error, bounds)
+            host, port = settings_module.split_address(getattr(listen, name))
+            address = await listener.start(host, port)
+            self._listeners.append(listener)
+            logging.info("daemon %s: %s listen on %s", self._settings.daemon.id, name, address)
+
+    def _live_voters(self) -> list[str]:
+        return [
+            member.id
+            for member in self._membership.members.values()
+            if member.voter and member.state <= members_module.State.SUSPECT
+        ]
+
+    async def _watch_log(self, name: str) -> None:
+        failure = await self._logs.wait_failed(name)
+        if failure is not None:
+            raise errors.DaemonError(f"{name} log: {type(failure).__name__}: {failure}")
+
+    async def _watch_notices(self) -> None:
+        url = self._settings.platform.notice_url
+        if url is None:
+            await asyncio.Event().wait()
+            return
+        seconds = await platform.wait_for_notice(
+            self._client, url, self._settings.platform.poll_seconds
+        )
+        logging.info("daemon %s: VM is reclaimed in %.1f s", self._settings.daemon.id, seconds)
+        self.stop_soon(seconds)
+        await asyncio.Event().wait()
+
+    async def _count_periodically(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.timeouts.counters_seconds)
+            counters = " ".join(
+                f"{name}={value}" for name, value in sorted(self._metrics.counters.items())
+            )
+            logging.info("daemon %s: counters %s", self._settings.daemon.id, counters)
+
+    def _spawn(self, work: object) -> asyncio.Task[object]:
+        task = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+        self._tasks.append(task)
+        return task
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: model traffic, plain services, reconnects."""
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/delivery.py
@@ -0,0 +1,182 @@
+"""Writes the answer of a model request to a caller, from any offset."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from coltsfoothead.daemon.callers import refusals
+from coltsfoothead.daemon.http import message, server
+from coltsfoothead.daemon.serving import requests
+
+__all__ = ["Reader", "deliver", "events", "whole_answer"]
+
+HEARTBEAT = b": ping\n\n"
+# A space may precede a JSON value, so it keeps a waiting connection alive without changing it.
+JSON_HEARTBEAT = b" "
+
+_encode = msgspec.json.encode
+
+
+class Reader:
+    """Reads the released part of a request as server-sent events.
+
+    Parameters
+    ----------
+    request : ModelRequest
+    offset : int
+        First token to read.
+    """
+
+    def __init__(self, request: requests.ModelRequest, offset: int) -> None:
+        self._request = request
+        self._offset = offset
+        head = _encode(
+            {
+                "id": f"chatcmpl-{request.request_id}",
+                "object": "chat.completion.chunk",
+                "created": request.created,
+                "model": request.model,
+            }
+        )
+        self._head = head[:-1] + b',"choices":[{"index":0,"delta":{"content":'
+        self._plain_head = head[:-1]
+
+    @property
+    def offset(self) -> int:
+        """The next token to read."""
+        return self._offset
+
+    def available(self) -> bytes:
+        """Returns the events released since the last call, which may be empty."""
+        request = self._request
+        parts = []
+        for offset in range(self._offset, request.released):
+            role = b',"role":"assistant"' if offset == 0 else b""
+            parts.append(
+                b'id: %d\ndata: %s%s%s},"finish_reason":null}]}\n\n'
+                % (offset, self._head, _encode(request.tokens[offset]), role)
+            )
+        self._offset = max(self._offset, request.released)
+        return b"".join(parts)
+
+    def ending(self) -> bytes:
+        """Returns the events that end the answer."""
+        match self._request.end:
+            case requests.Completion() as completion:
+                return self._completion(completion)
+            case refusals.Refusal() as refusal:
+                return b"data: " + refusals.response(refusal).body + b"\n\n"
+            case _:
+                raise AssertionError("the request has not ended")
+
+    def _completion(self, completion: requests.Completion) -> bytes:
+        last = b'id: %d\ndata: %s,"choices":[{"index":0,"delta":{},"finish_reason":%s}]}\n\n' % (
+            self._offset,
+            self._plain_head,
+            _encode(completion.reason),
+        )
+        usage = b""
+        if _wants_usage(self._request):
+            counts = _encode(_usage(completion))
+            usage = b'data: %s,"choices":[],"usage":%s}\n\n' % (self._plain_head, counts)
+        return last + usage + b"data: [DONE]\n\n"
+
+
+def _wants_usage(request: requests.ModelRequest) -> bool:
+    options = request.body.get("stream_options")
+    return isinstance(options, dict) and bool(options.get("include_usage"))
+
+
+def _usage(completion: requests.Completion) -> dict[str, int]:
+    return {
+        "prompt_tokens": completion.prompt_tokens,
+        "completion_tokens": completion.completion_tokens,
+        "total_tokens": completion.prompt_tokens + completion.completion_tokens,
+    }
+
+
+async def events(
+    request: requests.ModelRequest, offset: int, heartbeat_seconds: float
+) -> AsyncIterator[bytes]:
+    """Yields the answer as server-sent events from `offset` on, with heartbeats in between."""
+    reader = Reader(request, offset)
+    while True:
+        data = reader.available()
+        if data:
+            yield data
+        elif request.finished:
+            yield reader.ending()
+            return
+        elif not await request.changed(heartbeat_seconds):
+            yield HEARTBEAT
+
+
+def whole_answer(request: requests.ModelRequest) -> message.Response:
+    """Returns a finished answer as one JSON response."""
+    match request.end:
+        case requests.Completion() as completion:
+            choice = {
+                "index": 0,
+                "message": {"role": "assistant", "content": "".join(request.tokens)},
+                "finish_reason": completion.reason,
+            }
+            body = {
+                "id": f"chatcmpl-{request.request_id}",
+                "object": "chat.completion",
+                "created": request.created,
+                "model": request.model,
+                "choices": [choice],
+                "usage": _usage(completion),
+            }
+            return message.json_response(200, body, (("x-request-id", request.request_id),))
+        case refusals.Refusal() as refusal:
+            return refusals.response(refusal)
+        case _:
+            raise AssertionError("the request has not ended")
+
+
+async def deliver(
+    exchange: server.Exchange,
+    request: requests.ModelRequest,
+    offset: int,
+    heartbeat_seconds: float,
+) -> None:
+    """Writes the answer to a caller in the form that the request asked for.
+
+    Raises
+    ------
+    CallerGoneError
+        If the caller's connection breaks; the request itself goes on.
+    """
+    if request.streamed:
+        headers = (
+            ("content-type", "text/event-stream"),
+            ("cache-control", "no-cache"),
+            ("x-request-id", request.request_id),
+        )
+        await exchange.start(200, headers)
+        async for data in events(request, offset, heartbeat_seconds):
+            await exchange.write(data)
+        await exchange.end()
+        return
+    if request.finished:
+        await exchange.respond(whole_answer(request))
+        return
+    await _deliver_json(exchange, request, heartbeat_seconds)
+
+
+async def _deliver_json(
+    exchange: server.Exchange, request: requests.ModelRequest, heartbeat_seconds: float
+) -> None:
+    headers = (("content-type", message.JSON_TYPE), ("x-request-id", request.request_id))
+    await exchange.start(200, headers)
+    while not request.finished:
+        if not await request.changed(heartbeat_seconds):
+            await exchange.write(JSON_HEARTBEAT)
+    if isinstance(request.end, refusals.Refusal):
+        # The status is already sent; a broken body makes the caller ask again by request ID,
+        # and that answer carries the error.
+        exchange.abort()
+        return
+    await exchange.write(whole_answer(request).body)
+    await exchange.end()
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/services.py
@@ -0,0 +1,198 @@
+"""Calls to plain services."""
+
+import dataclasses
+import uuid
+from collections.abc import Callable
+from typing import Protocol
+
+from coltsfoothead.daemon import metrics as metrics_module
+from coltsfoothead.daemon.callers import access, refusals
+from coltsfoothead.daemon.http import client as http_client
+from coltsfoothead.daemon.http import errors, message
+from coltsfoothead.kernel import environment
+
+__all__ = ["PREFIX", "Call", "Router", "ServiceCalls", "build_call", "parse_target"]
+
+PREFIX = "/services/"
+# Headers that belong to one connection (RFC 9110, section 7.6.1) or to our own access check.
+NOT_FORWARDED = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+    }
+)
+MAX_ATTEMPTS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call to a service.
+
+    Attributes
+    ----------
+    request : Request
+        As it is sent to the service.
+    repeatable : bool
+        Whether it may be sent again after it may have run.
+    key : str or None
+        The caller's idempotency key.
+    """
+
+    request_id: str
+    organisation: str
+    service: environment.Service
+    request: message.Request
+    repeatable: bool
+    key: str | None
+
+
+class Router(Protocol):
+    """Chooses the upstream for a service call."""
+
+    def choose_service(self, service: str, excluded: frozenset[str]) -> tuple[str, str] | None:
+        """Returns ID and address of an upstream, or None."""
+
+    def service_sent(self, upstream: str) -> None:
+        """A call begins."""
+
+    def service_ended(self, upstream: str, seconds: float, failed: bool) -> None:
+        """A call ended."""
+
+
+def parse_target(target: str) -> tuple[str, str]:
+    """Returns the service's name and the target below it, which starts with ``/``."""
+    name, slash, rest = target.removeprefix(PREFIX).partition("/")
+    if not slash:
+        name, mark, query = name.partition("?")
+        return name, f"/{mark}{query}"
+    return name, f"/{rest}"
+
+
+class ServiceCalls:
+    """Sends service calls to upstreams.
+
+    Parameters
+    ----------
+    client : Client
+    router : Router
+    metrics : Metrics
+    answer_limit_bytes : int
+        Largest answer of a service.
+    may_retry : callable
+        Takes an organisation; returns whether its retry budget allows another attempt.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        client: http_client.Client,
+        router: Router,
+        metrics: metrics_module.Metrics,
+        answer_limit_bytes: int,
+        may_retry: Callable[[str], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        self._client = client
+        self._router = router
+        self._metrics = metrics
+        self._answer_limit_bytes = answer_limit_bytes
+        self._may_retry = may_retry
+        self._clock = clock
+
+    async def send(self, call: Call) -> message.Response:
+        """Sends a call and returns the whole answer.
+
+        Raises
+        ------
+        RefusedError
+            ``not_run`` if no byte was sent, ``unknown`` if the call may have run.
+        """
+        excluded: frozenset[str] = frozenset()
+        failure: errors.HttpError | None = None
+        for attempt in range(MAX_ATTEMPTS):
+            target = self._router.choose_service(call.service.name, excluded)
+            if target is None:
+                break
+            if attempt and not self._may_retry(call.organisation):
+                break
+            try:
+                return await self._attempt(call, *target)
+            except errors.ConnectError as error:
+                failure = failure or error
+            except errors.UpstreamBrokeError as error:
+                failure = error
+                if not call.repeatable:
+                    break
+            excluded |= {target[0]}
+        raise self._refusal(call, failure)
+
+    async def _attempt(self, call: Call, upstream: str, address: str) -> message.Response:
+        started = self._clock()
+        failed = True
+        self._router.service_sent(upstream)
+        self._metrics.count("service_attempts")
+        try:
+            answer = await self._client.send(
+                address, call.request, call.service.timeout_seconds, fresh=not call.repeatable
+            )
+            limit = self._answer_limit_bytes
+            body = await answer.read(call.service.timeout_seconds, limit)
+            failed = answer.status >= 500
+        finally:
+            self._router.service_ended(upstream, self._clock() - started, failed)
+        headers = [each for each in answer.headers if each[0] not in NOT_FORWARDED]
+        headers += [("x-request-id", call.request_id), ("x-execution", "ran")]
+        return message.Response(answer.status, tuple(headers), body)
+
+    @staticmethod
+    def _refusal(call: Call, failure: errors.HttpError | None) -> refusals.RefusedError:
+        match failure:
+            case None:
+                text = f"no upstream serves {call.service.name!r} now"
+                return refusals.refuse(refusals.Code.NO_UPSTREAM, text, request_id=call.request_id)
+            case errors.ConnectError():
+                return refusals.refuse(
+                    refusals.Code.NO_UPSTREAM, str(failure), request_id=call.request_id
+                )
+            case _:
+                return refusals.refuse(
+                    refusals.Code.UPSTREAM_FAILED,
+                    str(failure),
+                    refusals.Execution.UNKNOWN,
+                    request_id=call.request_id,
+                )
+
+
+def build_call(
+    request: message.Request,
+    document: environment.Environment,
+    organisation: environment.Organisation,
+) -> Call:
+    """Returns the call that a caller's request asks for.
+
+    Raises
+    ------
+    RefusedError
+        If the service does not exist or the organisation may not use it.
+    """
+    name, target = parse_target(request.target)
+    service = access.check_service(document, organisation, name)
+    request_id = uuid.uuid4().hex
+    headers = [each for each in request.headers if each[0] not in NOT_FORWARDED]
+    headers += [("x-request-id", request_id), ("x-organisation", organisation.name)]
+    forwarded = message.Request(request.method, target, tuple(headers), request.body)
+    repeatable = environment.is_repeatable(service, request.method, forwarded.path)
+    key = request.header("idempotency-key")
+    return Call(request_id, organisation.name, service, forwarded, repeatable, key)
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control tasks: replicated logs, membership, configuration."""
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/http/server.py
@@ -0,0 +1,303 @@
+"""HTTP/1.1 server: h11 for the protocol, one task per connection."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import h11
+
+from coltsfoothead.daemon.http import errors, message
+
+__all__ = ["Bounds", "Exchange", "Server"]
+
+READ_BYTES = 64 * 1024
+DISCARD_SECONDS = 1.0
+
+Handler = Callable[["Exchange"], Awaitable[None]]
+ErrorEncoder = Callable[[int, errors.HttpError], message.Response]
+
+# Status with which a receiving error is answered.
+_STATUS = {
+    errors.MalformedRequestError: 400,
+    errors.ReceiveTimeoutError: 408,
+    errors.BodyTooLargeError: 413,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What one connection may use.
+
+    Attributes
+    ----------
+    body_bytes, header_bytes : int
+        Largest body and largest header block.
+    receive_seconds : float
+        Time in which a whole request must arrive after its first byte.
+    idle_seconds : float
+        Time a connection may stay open without a request.
+    connections : int
+        Connections open at once.
+    """
+
+    body_bytes: int
+    header_bytes: int
+    receive_seconds: float
+    idle_seconds: float
+    connections: int
+
+
+class Exchange:
+    """One request and the response being written to it.
+
+    A handler either calls `respond` once, or `start`, any number of `write` and then `end`.
+    """
+
+    def __init__(
+        self, request: message.Request, connection: h11.Connection, writer: asyncio.StreamWriter
+    ) -> None:
+        self.request = request
+        self._connection = connection
+        self._writer = writer
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the response's status has been written."""
+        return self._started
+
+    @property
+    def caller_gone(self) -> bool:
+        """Whether the connection is closed."""
+        return self._writer.is_closing()
+
+    async def respond(self, response: message.Response) -> None:
+        """Writes a complete response."""
+        length = ("content-length", str(len(response.body)))
+        headers = [each for each in response.headers if each[0] != "content-length"]
+        await self.start(response.status, (*headers, length))
+        if self.request.method != "HEAD":
+            await self.write(response.body)
+        await self.end()
+
+    async def start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Writes status and headers; without a content length the body is chunked."""
+        self._started = True
+        self._send(h11.Response(status_code=status, headers=list(headers)))
+        await self._drain()
+
+    async def write(self, data: bytes) -> None:
+        """Writes a part of the body and waits while the caller reads too slowly.
+
+        Raises
+        ------
+        CallerGoneError
+            If the connection is closed.
+        """
+        if data:
+            self._send(h11.Data(data=data))
+        await self._drain()
+
+    async def end(self) -> None:
+        """Ends the response."""
+        self._send(h11.EndOfMessage())
+        await self._drain()
+
+    def abort(self) -> None:
+        """Closes the connection so that the caller sees an incomplete response."""
+        self._writer.transport.abort()
+
+    def _send(self, event: h11.Event) -> None:
+        if self._writer.is_closing():
+            raise errors.CallerGoneError("connection is closed")
+        data = self._connection.send(event)
+        if data:
+            self._writer.write(data)
+
+    async def _drain(self) -> None:
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise errors.CallerGoneError(str(error)) from error
+
+
+class Server:
+    """Accepts connections and gives each request to a handler.
+
+    Parameters
+    ----------
+    handler : callable
+        Takes an `Exchange`; exceptions that it lets through close the connection.
+    encode_error : callable
+        Turns a status and a receiving error into a response.
+    bounds : Bounds
+    """
+
+    def __init__(self, handler: Handler, encode_error: ErrorEncoder, bounds: Bounds) -> None:
+        self._handler = handler
+        self._encode_error = encode_error
+        self._bounds = bounds
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+        self._idle: set[asyncio.StreamWriter] = set()
+        self._closing = False
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open now."""
+        return len(self._connections)
+
+    async def start(self, host: str, port: int) -> str:
+        """Starts listening and returns the bound address as ``IP:port``."""
+        self._server = await asyncio.start_server(
+            self._accept, host, port, limit=self._bounds.header_bytes * 2
+        )
+        bound = self._server.sockets[0].getsockname()
+        return f"{bound[0]}:{bound[1]}"
+
+    async def stop(self, grace_seconds: float) -> None:
+        """Stops listening, lets running exchanges end, then closes what is left."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._idle):
+            writer.close()
+        if self._connections:
+            await asyncio.wait(self._connections, timeout=grace_seconds)
+        for task in list(self._connections):
+            task.cancel()
+        await asyncio.gather(*self._connections, return_exceptions=True)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        if len(self._connections) >= self._bounds.connections:
+            writer.transport.abort()
+            return
+        self._connections.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, errors.HttpError, asyncio.CancelledError):
+            pass
+        finally:
+            self._connections.discard(task)
+            self._idle.discard(writer)
+            with contextlib.suppress(OSError):
+                writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self._bounds.header_bytes)
+        while not self._closing:
+            self._idle.add(writer)
+            try:
+                request = await self._receive(connection, reader, writer)
+            except errors.HttpError as error:
+                await self._refuse(connection, writer, reader, error)
+                return
+            finally:
+                self._idle.discard(writer)
+            if request is None:
+                return
+            exchange = Exchange(request, connection, writer)
+            await self._handler(exchange)
+            if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _receive(
+        self, connection: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> message.Request | None:
+        """Returns the next request, or None if the peer closed between requests."""
+        loop = asyncio.get_running_loop()
+        head: h11.Request | None = None
+        body = bytearray()
+        deadline = loop.time() + self._bounds.idle_seconds
+        started = False
+        while True:
+            event = self._next_event(connection)
+            match event:
+                case h11.Request():
+                    head = event
+                    if connection.they_are_waiting_for_100_continue:
+                        self._check_declared_length(event)
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        writer.write(connection.send(go_on))
+                case h11.Data():
+                    body += event.data
+                    if len(body) > self._bounds.body_bytes:
+                        limit = self._bounds.body_bytes
+                        raise errors.BodyTooLargeError(f"body exceeds {limit} bytes")
+                case h11.EndOfMessage():
+                    assert head is not None
+                    return _request(head, bytes(body))
+                case h11.ConnectionClosed():
+                    return None
+                case h11.PAUSED:
+                    return None
+                case _:
+                    data = await self._read(reader, deadline, started)
+                    if data and not started:
+                        started = True
+                        self._idle.discard(writer)
+                        deadline = loop.time() + self._bounds.receive_seconds
+                    connection.receive_data(data)
+
+    def _check_declared_length(self, head: h11.Request) -> None:
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > self._bounds.body_bytes:
+                raise errors.BodyTooLargeError(f"body exceeds {self._bounds.body_bytes} bytes")
+
+    @staticmethod
+    def _next_event(connection: h11.Connection) -> object:
+        try:
+            return connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise errors.MalformedRequestError(str(error)) from error
+
+    async def _read(self, reader: asyncio.StreamReader, deadline: float, started: bool) -> bytes:
+        loop = asyncio.get_running_loop()
+        try:
+            return await asyncio.wait_for(reader.read(READ_BYTES), deadline - loop.time())
+        except TimeoutError:
+            if not started:
+                return b""
+            raise errors.ReceiveTimeoutError("request did not arrive in time") from None
+
+    async def _refuse(
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        reader: asyncio.StreamReader,
+        error: errors.HttpError,
+    ) -> None:
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response = self._encode_error(_STATUS.get(type(error), 400), error)
+        headers = [
+            *response.headers,
+            ("content-length", str(len(response.body))),
+            ("connection", "close"),
+        ]
+        head = h11.Response(status_code=response.status, headers=headers)
+        writer.write(connection.send(head) + connection.send(h11.Data(data=response.body)))
+        await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+        # Closing with unread bytes resets the connection, and the caller may lose the answer.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(_discard(reader), DISCARD_SECONDS)
+
+
+async def _discard(reader: asyncio.StreamReader) -> None:
+    while await reader.read(READ_BYTES):
+        pass
+
+
+def _request(head: h11.Request, body: bytes) -> message.Request:
+    headers = tuple(
+        (name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in head.headers
+    )
+    return message.Request(
+        head.method.decode("ascii"), head.target.decode("latin-1"), headers, body
+    )
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' API."""
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Life of accepted model requests: tokens from upstreams, delivery to callers."""
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
@@ -0,0 +1,225 @@
+"""Obtains the tokens of a model request, moving to another upstream when one fails."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from coltsfoothead.daemon import metrics as metrics_module
+from coltsfoothead.daemon.callers import refusals
+from coltsfoothead.daemon.http import client as http_client
+from coltsfoothead.daemon.http import errors as http_errors
+from coltsfoothead.daemon.serving import requests
+from coltsfoothead.daemon.upstreams import engine
+
+__all__ = ["Context", "Generation", "Router", "Target"]
+
+# Time between looks for an upstream while none can take the request.
+WAIT_SECONDS = 0.1
+BACKOFF_SECONDS = 0.02
+BACKOFF_LIMIT_SECONDS = 1.0
+# Statuses by which an engine asks to come back; every other 4xx is the request's own fault.
+TRANSIENT_STATUSES = frozenset({408, 409, 425, 429})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """An upstream chosen for an attempt."""
+
+    upstream: str
+    address: str
+    priority: int
+
+
+class Router(Protocol):
+    """Chooses upstreams and hears what became of the attempts."""
+
+    def choose(self, request: requests.ModelRequest, excluded: frozenset[str]) -> Target | None:
+        """Returns the upstream for the next attempt, or None if none can take it."""
+
+    def sent(self, request: requests.ModelRequest, target: Target) -> None:
+        """An attempt begins."""
+
+    def token(self, request: requests.ModelRequest, target: Target) -> None:
+        """A token of the attempt arrived."""
+
+    def ended(self, request: requests.ModelRequest, target: Target, failed: bool) -> None:
+        """The attempt ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """What a generation needs from its daemon."""
+
+    client: http_client.Client
+    router: Router
+    metrics: metrics_module.Metrics
+    changed: Callable[[requests.ModelRequest], None]
+    silence_seconds: float
+    clock: Callable[[], float]
+    rng: random.Random
+
+
+class Generation:
+    """Runs one request until it ends.
+
+    Parameters
+    ----------
+    context : Context
+    request : ModelRequest
+    """
+
+    def __init__(self, context: Context, request: requests.ModelRequest) -> None:
+        self._context = context
+        self._request = request
+        self._target: Target | None = None
+        self._move_timer: asyncio.Timeout | None = None
+        self._failures = 0
+        self._excluded: frozenset[str] = frozenset()
+
+    @property
+    def upstream(self) -> str | None:
+        """The upstream of the running attempt, or None."""
+        return self._target.upstream if self._target else None
+
+    @property
+    def request(self) -> requests.ModelRequest:
+        """The request."""
+        return self._request
+
+    def move_at(self, when: float) -> None:
+        """Makes the running attempt move to another upstream at a monotonic time."""
+        timer = self._move_timer
+        if timer is not None and (timer.when() is None or when < timer.when()):
+            timer.reschedule(when)
+
+    async def run(self) -> None:
+        """Obtains the whole answer, or ends the request with a refusal."""
+        try:
+            async with asyncio.timeout_at(self._request.deadline):
+                while self._request.end is None:
+                    await self._next_attempt()
+        except TimeoutError:
+            self._end(self._given_up())
+        finally:
+            if self._target is not None:
+                self._context.router.ended(self._request, self._target, failed=False)
+
+    async def _next_attempt(self) -> None:
+        target = self._context.router.choose(self._request, self._excluded)
+        if target is None:
+            self._excluded = frozenset()
+            await asyncio.sleep(WAIT_SECONDS)
+            return
+        self._request.attempt += 1
+        self._request.upstream = target.upstream
+        self._target = target
+        self._context.router.sent(self._request, target)
+        failed = True
+        try:
+            async with asyncio.timeout(None) as self._move_timer:
+                await self._attempt(target)
+            failed = False
+        except TimeoutError:
+            failed = False
+            self._context.metrics.count("streams_moved")
+            self._excluded = frozenset({target.upstream})
+        except engine.EngineRefusedError as error:
+            self._refused(error)
+        except http_errors.HttpError:
+            self._context.metrics.count("attempts_failed")
+        finally:
+            self._move_timer = None
+            self._target = None
+            self._context.router.ended(self._request, target, failed)
+        if self._request.end is None:
+            await self._cancel(target)
+        if failed and self._request.end is None:
+            await self._back_off(target)
+
+    async def _attempt(self, target: Target) -> None:
+        request = self._request
+        attempt = request.attempt
+        stream = engine.generate(
+            self._context.client,
+            target.address,
+            self._body(target),
+            request.request_id,
+            attempt,
+            self._context.silence_seconds,
+        )
+        try:
+            async for event in stream:
+                self._take(event, attempt, target)
+        finally:
+            await stream.aclose()
+
+    def _take(self, event: engine.Event, attempt: int, target: Target) -> None:
+        request = self._request
+        match event:
+            case engine.Token(offset, text):
+                if request.append(attempt, offset, text):
+                    self._failures = 0
+                    self._context.router.token(request, target)
+                    self._context.changed(request)
+            case engine.Started():
+                request.accepted = True
+                request.notify()
+            case engine.Finished(reason, prompt_tokens, _):
+                done = requests.Completion(reason, prompt_tokens, len(request.tokens))
+                self._end(done)
+
+    def _body(self, target: Target) -> dict[str, object]:
+        request = self._request
+        body = dict(request.body)
+        body["stream"] = True
+        body["stream_options"] = {"include_usage": True}
+        body["priority"] = target.priority
+        if request.tokens:
+            body["resume_tokens"] = request.tokens
+        return body
+
+    def _refused(self, error: engine.EngineRefusedError) -> None:
+        self._context.metrics.count("attempts_refused")
+        if 400 <= error.status < 500 and error.status not in TRANSIENT_STATUSES:
+            execution = refusals.Execution.NOT_RUN
+            if self._request.tokens:
+                execution = refusals.Execution.RAN
+            self._end(self._refusal(refusals.Code.INVALID_BODY, str(error), execution))
+
+    async def _cancel(self, target: Target) -> None:
+        # Not awaited to the end: a dead upstream would hold up the next attempt.
+        request = self._request
+        cancelling = engine.cancel(
+            self._context.client, target.address, request.request_id, request.attempt
+        )
+        task = asyncio.get_running_loop().create_task(cancelling)
+        _background.add(task)
+        task.add_done_callback(_background.discard)
+
+    async def _back_off(self, target: Target) -> None:
+        self._failures += 1
+        self._excluded |= {target.upstream}
+        ceiling = min(BACKOFF_SECONDS * 2**self._failures, BACKOFF_LIMIT_SECONDS)
+        await asyncio.sleep(self._context.rng.uniform(0, ceiling))
+
+    def _end(self, end: requests.Completion | refusals.Refusal) -> None:
+        self._request.finish(end, self._context.clock())
+        self._context.changed(self._request)
+
+    def _given_up(self) -> refusals.Refusal:
+        execution = refusals.Execution.NOT_RUN
+        if self._request.attempt:
+            execution = refusals.Execution.UNKNOWN
+        return self._refusal(
+            refusals.Code.DEADLINE_EXCEEDED, "the request's time ran out", execution
+        )
+
+    def _refusal(
+        self, code: refusals.Code, text: str, execution: refusals.Execution
+    ) -> refusals.Refusal:
+        return refusals.refuse(code, text, execution, request_id=self._request.request_id).refusal
+
+
+_background: set[asyncio.Task[None]] = set()
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/requests.py
@@ -0,0 +1,192 @@
+"""Accepted model requests held by this daemon, and their answers."""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable, Mapping
+
+from coltsfoothead.daemon.callers import refusals
+
+__all__ = ["Completion", "ModelRequest", "RequestTable"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completion:
+    """A whole answer: finish reason and usage counts."""
+
+    reason: str
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class ModelRequest:
+    """One accepted request and the answer so far.
+
+    Tokens are appended as an upstream produces them and released once they may be delivered.
+    Several deliveries can read the same request, each from its own offset.
+
+    Parameters
+    ----------
+    request_id : str
+    organisation : str
+    body : mapping
+        The caller's chat-completions body.
+    created : int
+        Seconds since the epoch, as shown in the answer.
+    deadline : float
+        Monotonic time at which the request is given up.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        organisation: str,
+        body: Mapping[str, object],
+        created: int,
+        deadline: float,
+    ) -> None:
+        self.request_id = request_id
+        self.organisation = organisation
+        self.body = body
+        self.created = created
+        self.deadline = deadline
+        self.epoch = 1
+        self.attempt = 0
+        self.upstream: str | None = None
+        self.guard: str | None = None
+        self.accepted = False
+        self.tokens: list[str] = []
+        self.released = 0
+        self.end: Completion | refusals.Refusal | None = None
+        self.ended_at: float | None = None
+        self._end_released = False
+        self._waiters: list[asyncio.Future[None]] = []
+        self._end_callbacks: list[Callable[[], None]] = []
+
+    @property
+    def model(self) -> str:
+        """Name of the requested model."""
+        return str(self.body["model"])
+
+    @property
+    def streamed(self) -> bool:
+        """Whether the caller asked for server-sent events."""
+        return bool(self.body.get("stream"))
+
+    @property
+    def finished(self) -> bool:
+        """Whether the end of the answer may be delivered."""
+        return self._end_released
+
+    @property
+    def size_bytes(self) -> int:
+        """Approximate memory of the answer."""
+        return sum(map(len, self.tokens)) + 64 * len(self.tokens) + 1024
+
+    def append(self, attempt: int, offset: int, text: str) -> bool:
+        """Adds a token; returns False if it comes from an old attempt or exists already."""
+        if attempt != self.attempt or self.end is not None or offset != len(self.tokens):
+            return False
+        self.tokens.append(text)
+        return True
+
+    def finish(self, end: Completion | refusals.Refusal, now: float) -> None:
+        """Sets the end of the answer; only the first end counts."""
+        if self.end is None:
+            self.end = end
+            self.ended_at = now
+            self.close()
+
+    def on_end(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` once when the request ends or is dropped."""
+        self._end_callbacks.append(callback)
+
+    def close(self) -> None:
+        """Calls the callbacks of the end; further calls do nothing."""
+        callbacks, self._end_callbacks = self._end_callbacks, []
+        for callback in callbacks:
+            callback()
+
+    def release(self, tokens: int, end: bool) -> None:
+        """Allows delivery of the first `tokens` tokens and, if `end`, of the end."""
+        self.released = max(self.released, min(tokens, len(self.tokens)))
+        self._end_released = self._end_released or (
+            end and self.end is not None and self.released == len(self.tokens)
+        )
+        self.notify()
+
+    def notify(self) -> None:
+        """Wakes everything that waits for a change."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def changed(self, seconds: float) -> bool:
+        """Waits for a change; returns False if none came within `seconds`."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            async with asyncio.timeout(seconds):
+                await waiter
+        except TimeoutError:
+            return False
+        return True
+
+
+class RequestTable:
+    """The requests of this daemon, running and lately ended.
+
+    Parameters
+    ----------
+    retention_seconds : float
+        Time for which an ended request is kept.
+    limit_bytes : int
+        Memory for ended requests; the oldest go first.
+    """
+
+    def __init__(self, retention_seconds: float, limit_bytes: int) -> None:
+        self._retention_seconds = retention_seconds
+        self._limit_bytes = limit_bytes
+        self._requests: dict[str, ModelRequest] = {}
+        self._ended: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._ended_bytes = 0
+
+    @property
+    def running(self) -> list[ModelRequest]:
+        """Requests that have not ended."""
+        return [each for each in self._requests.values() if each.end is None]
+
+    @property
+    def all(self) -> list[ModelRequest]:
+        """All requests that are held."""
+        return list(self._requests.values())
+
+    def get(self, request_id: str) -> ModelRequest | None:
+        """Returns a request, or None."""
+        return self._requests.get(request_id)
+
+    def add(self, request: ModelRequest) -> None:
+        """Adds a request."""
+        self._requests[request.request_id] = request
+
+    def discard(self, request_id: str) -> None:
+        """Drops a request."""
+        self._requests.pop(request_id, None)
+        self._ended_bytes -= self._ended.pop(request_id, 0)
+
+    def ended(self, request: ModelRequest) -> None:
+        """Counts an ended request towards the memory bound."""
+        if request.request_id in self._requests and request.request_id not in self._ended:
+            self._ended[request.request_id] = request.size_bytes
+            self._ended_bytes += request.size_bytes
+
+    def expire(self, now: float) -> None:
+        """Drops ended requests that are too old or exceed the memory bound."""
+        while self._ended:
+            oldest = next(iter(self._ended))
+            ended_at = self._requests[oldest].ended_at or 0.0
+            fresh = now - ended_at < self._retention_seconds
+            if fresh and self._ended_bytes <= self._limit_bytes:
+                return
+            self.discard(oldest)
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/router.py
@@ -0,0 +1,253 @@
+"""Routes attempts by the policy that the environment document names."""
+
+import collections
+import dataclasses
+import math
+import random
+from collections.abc import Callable, Iterator, Mapping
+
+from coltsfoothead.coordination.membership import directory as directory_module
+from coltsfoothead.daemon.serving import generation, requests
+from coltsfoothead.kernel import environment, observation, registry, views
+from coltsfoothead.kernel.routing import subset
+
+__all__ = ["FleetRouter", "Place"]
+
+# Rough length of a token in characters; only relative sizes matter to the policies.
+CHARACTERS_PER_TOKEN = 4
+SHORT_TOKENS = 128
+DEFAULT_PREDICTED_TOKENS = 128
+PRIORITIES = {views.RequestClass.SHORT: 0, views.RequestClass.LONG: 10}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where this daemon runs."""
+
+    daemon: str
+    region: str
+    zone: str
+
+
+class _Views(Mapping[str, views.UpstreamView]):
+    """Views of the candidates, built when a policy looks at them."""
+
+    def __init__(
+        self,
+        records: Mapping[str, directory_module.Upstream],
+        build: Callable[[directory_module.Upstream], views.UpstreamView],
+    ) -> None:
+        self._records = records
+        self._build = build
+        self._built: dict[str, views.UpstreamView] = {}
+
+    def __getitem__(self, upstream: str) -> views.UpstreamView:
+        if upstream not in self._built:
+            self._built[upstream] = self._build(self._records[upstream])
+        return self._built[upstream]
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._records)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+
+class FleetRouter:
+    """Chooses upstreams for model requests and service calls.
+
+    Parameters
+    ----------
+    directory : Directory
+    document : callable
+        Returns the environment document, or None.
+    place : Place
+    clock : callable
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        directory: directory_module.Directory,
+        document: Callable[[], environment.Environment | None],
+        place: Place,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._document = document
+        self._place = place
+        self._clock = clock
+        self._rng = rng
+        self._observer = observation.Observer()
+        self._policies: dict[str, object] = {}
+        self._classes: dict[str, views.RequestClass] = {}
+        self._service_calls: collections.Counter[str] = collections.Counter()
+        self._subset: tuple[frozenset[str], tuple[str, ...]] = (frozenset(), ())
+
+    def in_flight(self, upstream: str) -> int:
+        """Returns this daemon's running attempts and calls at an upstream."""
+        figures = self._observer.figures(upstream, self._clock())
+        return figures.inflight + self._service_calls[upstream]
+
+    def choose(
+        self, request: requests.ModelRequest, excluded: frozenset[str]
+    ) -> generation.Target | None:
+        """Returns the upstream for the next attempt, or None if none can take it."""
+        now = self._clock()
+        document = self._document()
+        records = {
+            record.upstream: record
+            for record in self._directory.routable(now)
+            if record.kind == "model" and _serves(record, request.model, document)
+        }
+        candidates = self._candidates(records)
+        view = self._request_view(request, excluded)
+        snapshot = views.RoutingSnapshot(
+            now=now,
+            candidates=candidates,
+            upstreams=_Views(records, lambda record: self._upstream_view(record, now)),
+        )
+        policy = self._policy(document.policies.routing if document else "completion")
+        decision = policy.choose(view, snapshot, self._rng)
+        if isinstance(decision, views.NoUpstream):
+            return None
+        self._classes[request.request_id] = view.request_class
+        address = records[decision.upstream].address
+        return generation.Target(decision.upstream, address, PRIORITIES[view.request_class])
+
+    def sent(self, request: requests.ModelRequest, target: generation.Target) -> None:
+        """An attempt begins."""
+        view = self._request_view(request, frozenset())
+        event = observation.Sent(
+            _stream(request),
+            target.upstream,
+            view.prompt_tokens + len(request.tokens),
+            max(1.0, view.predicted_tokens - len(request.tokens)),
+            view.request_class,
+            self._clock(),
+        )
+        self._observer.observe(event)
+
+    def token(self, request: requests.ModelRequest, target: generation.Target) -> None:
+        """A token of the attempt arrived."""
+        self._observer.observe(observation.Token(_stream(request), self._clock()))
+
+    def ended(
+        self, request: requests.ModelRequest, target: generation.Target, failed: bool
+    ) -> None:
+        """The attempt ended."""
+        kind = observation.Failed if failed else observation.Finished
+        self._observer.observe(kind(_stream(request), self._clock()))
+        if request.end is not None:
+            self._classes.pop(request.request_id, None)
+
+    def choose_service(self, service: str, excluded: frozenset[str]) -> tuple[str, str] | None:
+        """Returns ID and address of an upstream for a service call, or None."""
+        records = [
+            record
+            for record in self._directory.routable(self._clock())
+            if record.kind == "service"
+            and record.service == service
+            and record.upstream not in excluded
+        ]
+        if not records:
+            return None
+        best = min(
+            records,
+            key=lambda record: (
+                record.region != self._place.region,
+                self._service_calls[record.upstream],
+                self._rng.random(),
+            ),
+        )
+        return best.upstream, best.address
+
+    def service_sent(self, upstream: str) -> None:
+        """A service call begins."""
+        self._service_calls[upstream] += 1
+
+    def service_ended(self, upstream: str, seconds: float, failed: bool) -> None:
+        """A service call ended."""
+        self._service_calls[upstream] -= 1
+        if not self._service_calls[upstream]:
+            del self._service_calls[upstream]
+
+    def _candidates(self, records: Mapping[str, directory_module.Upstream]) -> tuple[str, ...]:
+        names = frozenset(records)
+        if names != self._subset[0]:
+            located = (
+                subset.Located(record.upstream, record.zone, record.region)
+                for record in records.values()
+            )
+            place = self._place
+            chosen = subset.choose_subset(place.daemon, place.zone, place.region, located)
+            self._subset = (names, chosen)
+        return self._subset[1]
+
+    def _policy(self, name: str) -> object:
+        if name not in self._policies:
+            self._policies[name] = registry.resolve("routing", name)()
+        return self._policies[name]
+
+    def _request_view(
+        self, request: requests.ModelRequest, excluded: frozenset[str]
+    ) -> views.RequestView:
+        predicted = _stated_tokens(request.body) or DEFAULT_PREDICTED_TOKENS
+        kind = views.RequestClass.SHORT if predicted <= SHORT_TOKENS else views.RequestClass.LONG
+        return views.RequestView(
+            request=request.request_id,
+            organisation=request.organisation,
+            model=request.model,
+            prompt_tokens=_prompt_tokens(request.body),
+            predicted_tokens=float(predicted),
+            request_class=kind,
+            deadline=request.deadline if math.isfinite(request.deadline) else math.inf,
+            region=self._place.region,
+            zone=self._place.zone,
+            excluded=excluded,
+        )
+
+    def _upstream_view(self, record: directory_module.Upstream, now: float) -> views.UpstreamView:
+        load = record.load
+        report = None
+        if load is not None:
+            age = self._directory.age(record.upstream, now) + load.measured_ms_ago / 1000
+            report = views.LoadReport(load.running, load.waiting, age)
+        return views.UpstreamView(
+            upstream=record.upstream,
+            zone=record.zone,
+            region=record.region,
+            slots=record.slots,
+            vm_class=record.vm_class,
+            own=self._observer.figures(record.upstream, now),
+            report=report,
+            models=frozenset(model.name for model in record.models),
+        )
+
+
+def _stream(request: requests.ModelRequest) -> str:
+    return f"{request.request_id}/{request.epoch}/{request.attempt}"
+
+
+def _stated_tokens(body: Mapping[str, object]) -> int | None:
+    stated = body.get("max_completion_tokens") or body.get("max_tokens")
+    return stated if isinstance(stated, int) else None
+
+
+def _prompt_tokens(body: Mapping[str, object]) -> int:
+    messages = body.get("messages")
+    length = sum(len(str(each.get("content") or "")) for each in messages)  # type: ignore[union-attr]
+    return length // CHARACTERS_PER_TOKEN + 1
+
+
+def _serves(
+    record: directory_module.Upstream, name: str, document: environment.Environment | None
+) -> bool:
+    rule = document.model(name) if document else None
+    if rule is None or (rule.zones and record.zone not in rule.zones):
+        return False
+    return any(
+        model.name == name and (not rule.versions or model.version in rule.versions)
+        for model in record.models
+    )
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -0,0 +1,218 @@
+"""Composes everything that serves callers."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+
+from absl import logging
+
+from coltsfoothead.coordination.ledger import commands as ledger_commands
+from coltsfoothead.coordination.membership import directory as directory_module
+from coltsfoothead.coordination.membership import members as members_module
+from coltsfoothead.coordination.transport import links as links_module
+from coltsfoothead.daemon import metrics as metrics_module
+from coltsfoothead.daemon import readiness as readiness_module
+from coltsfoothead.daemon import settings as settings_module
+from coltsfoothead.daemon.callers import (
+    frontend,
+    idempotency,
+    models,
+    refusals,
+    services,
+    servicetraffic,
+)
+from coltsfoothead.daemon.control import loghost, proposer
+from coltsfoothead.daemon.http import client as http_client
+from coltsfoothead.daemon.http import message, server
+from coltsfoothead.daemon.serving import (
+    admission,
+    generation,
+    locator,
+    requests,
+    router,
+    unreplicated,
+)
+
+__all__ = ["Traffic"]
+
+EXPIRE_SECONDS = 5.0
+DRAIN_POLL_SECONDS = 0.05
+# Time before the end of a notice at which what still runs is handed over.
+HAND_OVER_SECONDS = 2.0
+
+
+class LedgerProposals:
+    """Commits ledger commands through the proposer."""
+
+    def __init__(self, proposals: proposer.Proposer) -> None:
+        self._proposals = proposals
+
+    async def propose_ledger(self, command: object) -> object:
+        """Returns the result of a committed command."""
+        try:
+            return await self._proposals.propose(loghost.LEDGER, ledger_commands.NAME, command)
+        except (proposer.QuorumLostError, proposer.UnknownOutcomeError) as error:
+            raise idempotency.LedgerUnavailableError(str(error)) from error
+
+
+class Traffic:
+    """Serves callers: model requests, service calls, reconnects."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        incarnation: int,
+        links: links_module.Links,
+        client: http_client.Client,
+        proposals: proposer.Proposer,
+        directory: directory_module.Directory,
+        members: Callable[[], Mapping[str, members_module.Member]],
+        readiness: readiness_module.Readiness,
+        metrics: metrics_module.Metrics,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        own = settings.daemon
+        timeouts = settings.timeouts
+        self._settings = settings
+        self._readiness = readiness
+        self._metrics = metrics
+        self._clock = clock
+        self._generations: dict[str, asyncio.Task[None]] = {}
+        self._running: dict[str, generation.Generation] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self.table = requests.RequestTable(
+            timeouts.answer_retention_seconds, settings.limits.answer_store_bytes
+        )
+        self.router = router.FleetRouter(
+            directory,
+            readiness.latest,
+            router.Place(own.id, own.region, own.zone),
+            clock,
+            rng,
+        )
+        self.replicator = unreplicated.Unreplicated()
+        self.admission = admission.Admission(clock)
+        self._context = generation.Context(
+            client,
+            self.router,
+            metrics,
+            self.replicator.changed,
+            timeouts.stream_silence_seconds,
+            clock,
+            rng,
+        )
+        self._ledger = idempotency.Ledger(LedgerProposals(proposals), own.id, incarnation)
+        self._locator = locator.Locator(own.id, links, members, self.table, metrics)
+        self._once = idempotency.OnceOnly(self._ledger, own.id, self._locator.join)
+        self._locator.serve(self._once.wait_settled)
+        self._models = models.ModelTraffic(
+            readiness.document,
+            self.table,
+            self.start_generation,
+            self.replicator,
+            self.admission,
+            self._locator,
+            self._once,
+            self._ledger,
+            metrics,
+            models.Times(timeouts.request_seconds, timeouts.caller_heartbeat_seconds),
+            clock,
+        )
+        calls = services.ServiceCalls(
+            client,
+            self.router,
+            metrics,
+            settings.limits.body_bytes,
+            self.admission.may_retry,
+            clock,
+        )
+        self._services = servicetraffic.ServiceTraffic(
+            readiness.document,
+            calls,
+            self._once,
+            self._ledger,
+            metrics,
+            self.admission.service_ended,
+            clock,
+        )
+
+    @property
+    def running(self) -> int:
+        """Requests and calls that are being served."""
+        return len(self._generations) + self._services.running
+
+    def routes(self) -> list[frontend.Route]:
+        """Returns the routes of the callers' listener."""
+        get = frozenset({"GET"})
+        return [
+            frontend.Route("/healthz", get, self._health, exact=True),
+            frontend.Route("/readyz", get, self._ready, exact=True),
+            frontend.Route("/v1/models", get, self._models.list_models, exact=True),
+            frontend.Route(
+                "/v1/chat/completions", frozenset({"POST"}), self._models.complete, exact=True
+            ),
+            frontend.Route(models.REQUEST_PREFIX, get, self._models.resume),
+            frontend.Route(services.PREFIX, frozenset(), self._services.call),
+        ]
+
+    async def start(self) -> None:
+        """Starts the background work."""
+        self._tasks.append(asyncio.get_running_loop().create_task(self._expire()))
+
+    async def start_generation(self, request: requests.ModelRequest) -> None:
+        """Starts obtaining the answer of a request."""
+        running = generation.Generation(self._context, request)
+        task = asyncio.get_running_loop().create_task(self._generate(running, request))
+        self._generations[request.request_id] = task
+        self._running[request.request_id] = running
+
+    async def drain(self, deadline: float) -> None:
+        """Waits until nothing runs, or until it is time to hand over what does."""
+        while self.running and self._clock() < deadline - HAND_OVER_SECONDS:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._ledger.stop()
+
+    async def stop(self) -> None:
+        """Ends what still runs."""
+        tasks = [*self._tasks, *self._generations.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.replicator.stop()
+
+    async def _generate(
+        self, running: generation.Generation, request: requests.ModelRequest
+    ) -> None:
+        try:
+            await running.run()
+        except Exception:
+            logging.exception("request %s: generation failed", request.request_id)
+            text = "an internal error occurred"
+            refusal = refusals.refuse(
+                refusals.Code.INTERNAL,
+                text,
+                refusals.Execution.UNKNOWN,
+                request_id=request.request_id,
+            ).refusal
+            request.finish(refusal, self._clock())
+            self.replicator.changed(request)
+        finally:
+            self._generations.pop(request.request_id, None)
+            self._running.pop(request.request_id, None)
+            self.table.ended(request)
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_SECONDS)
+            self.table.expire(self._clock())
+
+    async def _health(self, exchange: server.Exchange) -> None:
+        await exchange.respond(message.json_response(200, {"status": "ok"}))
+
+    async def _ready(self, exchange: server.Exchange) -> None:
+        reason = self._readiness.reason
+        if reason is None:
+            await exchange.respond(message.json_response(200, {"ready": True}))
+            return
+        await exchange.respond(message.json_response(503, {"ready": False, "reason": reason}))
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: announcements, connections, engine protocol."""
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/upstreams/engine.py
@@ -0,0 +1,180 @@
+"""Client side of the model engines' interface."""
+
+import dataclasses
+from collections.abc import AsyncIterator, Mapping
+
+import msgspec
+
+from coltsfoothead.daemon.http import client as http_client
+from coltsfoothead.daemon.http import errors, message
+
+__all__ = ["EngineRefusedError", "Event", "Finished", "Started", "Token", "cancel", "generate"]
+
+CHAT_PATH = "/v1/chat/completions"
+CANCEL_PATH = "/v1/cancel"
+CANCEL_SECONDS = 2.0
+REFUSAL_BODY_BYTES = 64 * 1024
+
+
+class EngineRefusedError(errors.HttpError):
+    """The engine answered with an error status, so it did not generate."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(f"status {status}: {text}")
+        self.status = status
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """The engine took the request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Token:
+    """One piece of text, `offset` counted in pieces from the start of the answer."""
+
+    offset: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """The end of an answer with the engine's usage counts."""
+
+    reason: str
+    prompt_tokens: int
+    completion_tokens: int
+
+
+Event = Started | Token | Finished
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+    finish_reason: str | None = None
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = msgspec.field(default_factory=list)
+    usage: _Usage | None = None
+
+
+_chunk_decoder = msgspec.json.Decoder(_Chunk)
+
+
+async def generate(
+    client: http_client.Client,
+    address: str,
+    body: Mapping[str, object],
+    request_id: str,
+    attempt: int,
+    silence_seconds: float,
+) -> AsyncIterator[Event]:
+    """Streams an answer from an engine.
+
+    Parameters
+    ----------
+    client : Client
+    address : str
+        The engine, ``IP:port``.
+    body : mapping
+        Chat-completions body; ``resume_tokens`` holds the pieces that exist already.
+    request_id : str
+    attempt : int
+        Number of this attempt; the engine cancels by request ID and attempt.
+    silence_seconds : float
+        Bound on the time between any two bytes.
+
+    Raises
+    ------
+    ConnectError
+        If nothing was sent.
+    EngineRefusedError
+        If the engine answered with an error status.
+    UpstreamBrokeError
+        If the stream broke or went silent.
+    """
+    headers = (
+        ("content-type", message.JSON_TYPE),
+        ("x-request-id", request_id),
+        ("x-attempt", str(attempt)),
+    )
+    request = message.Request("POST", CHAT_PATH, headers, msgspec.json.encode(body))
+    answer = await client.send(address, request, silence_seconds)
+    try:
+        if answer.status != 200:
+            text = await answer.read(silence_seconds, REFUSAL_BODY_BYTES)
+            raise EngineRefusedError(answer.status, text.decode(errors="replace")[:200])
+        yield Started()
+        async for event in _events(answer, silence_seconds):
+            yield event
+    finally:
+        answer.close()
+
+
+async def _events(answer: http_client.Answer, silence_seconds: float) -> AsyncIterator[Event]:
+    reason = None
+    usage = _Usage()
+    rest = b""
+    async for data in answer.chunks(silence_seconds):
+        *blocks, rest = (rest + data).split(b"\n\n")
+        for block in blocks:
+            event_id, payload = _parse(block)
+            if payload is None:
+                continue
+            if payload == b"[DONE]":
+                if reason is None:
+                    raise errors.UpstreamBrokeError("stream ended without a finish reason")
+                async for _ in answer.chunks(silence_seconds):
+                    pass
+                yield Finished(reason, usage.prompt_tokens, usage.completion_tokens)
+                return
+            chunk = _decode(payload)
+            usage = chunk.usage or usage
+            for choice in chunk.choices:
+                reason = choice.finish_reason or reason
+                if choice.delta.content:
+                    if event_id is None:
+                        raise errors.UpstreamBrokeError("a token arrived without an offset")
+                    yield Token(event_id, choice.delta.content)
+    raise errors.UpstreamBrokeError("stream ended early")
+
+
+def _parse(block: bytes) -> tuple[int | None, bytes | None]:
+    """Returns ID and data of one server-sent event; the data is None for comments."""
+    event_id = None
+    payload = None
+    for line in block.split(b"\n"):
+        if line.startswith(b"data:"):
+            payload = line[5:].strip()
+        elif line.startswith(b"id:"):
+            value = line[3:].strip()
+            event_id = int(value) if value.isdigit() else None
+    return event_id, payload
+
+
+def _decode(payload: bytes) -> _Chunk:
+    try:
+        return _chunk_decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise errors.UpstreamBrokeError(f"malformed chunk: {error}") from error
+
+
+async def cancel(client: http_client.Client, address: str, request_id: str, attempt: int) -> None:
+    """Asks an engine to stop an attempt; failures are of no consequence and are ignored."""
+    body = msgspec.json.encode({"request_id": request_id, "attempt": attempt})
+    request = message.Request("POST", CANCEL_PATH, (("content-type", message.JSON_TYPE),), body)
+    try:
+        answer = await client.send(address, request, CANCEL_SECONDS)
+        await answer.read(CANCEL_SECONDS, REFUSAL_BODY_BYTES)
+    except errors.HttpError:
+        pass
