Refuse unusual paths, infinities and line feeds in the schemas

Names and digests accepted a final line feed, since `$` matches before it, and amounts of money or time accepted the `inf` of TOML. Change: only paths of plain segments can match a rule; patterns end with `\Z`; floats have an upper bound of 1e9. Ruled out: a longer list of refused characters, because it stays open to the next reading of a path; an infinite bound, because msgspec takes finite bounds only. Conclusion: a call whose path is unusual is sent at most once.

--- a/packages/daemon/src/coltsfoothead/daemon/settings.py
+++ b/packages/daemon/src/coltsfoothead/daemon/settings.py
@@ -9,11 +9,12 @@
 
 __all__ = ["Settings", "decode", "load", "split_address"]
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")]
 Address = Annotated[
-    str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
+    str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}\Z")
 ]
-Seconds = Annotated[float, msgspec.Meta(gt=0)]
+# The upper bound refuses the infinity that TOML can express.
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 Bytes = Annotated[int, msgspec.Meta(ge=1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
--- a/packages/kernel/src/coltsfoothead/kernel/environment.py
+++ b/packages/kernel/src/coltsfoothead/kernel/environment.py
@@ -31,11 +31,16 @@
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
-Method = Annotated[str, msgspec.Meta(pattern=r"^[A-Z]{1,16}$")]
+# Services differ in how they read encoded, repeated or relative separators, path parameters and
+# backslashes. Any of them could make a path match a rule that it should not.
+_PLAIN_PATH = re.compile(r"(/(?!\.{1,2}(/|\Z))[A-Za-z0-9._~!$&'()*+,=:@-]+)*/?")
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
+Method = Annotated[str, msgspec.Meta(pattern=r"^[A-Z]{1,16}\Z")]
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
-PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+# The upper bound refuses the infinity that TOML can express.
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
 
 
@@ -241,8 +246,7 @@
     """
     if method in SAFE_METHODS:
         return True
-    # Encoded, repeated or relative separators could make a path match a rule that it should not.
-    if re.search(r"%|//|/\.\.?(/|$)", path):
+    if not _PLAIN_PATH.fullmatch(path):
         return False
     return any(
         rule.method == method
--- a/packages/kernel/src/coltsfoothead/kernel/operations.py
+++ b/packages/kernel/src/coltsfoothead/kernel/operations.py
@@ -1,12 +1,11 @@
 """Requests and answers of the operators' API.
 
-Requests refuse unknown keys, so that a misspelt option is not ignored. Answers accept unknown
-keys and leave open sets of names as plain strings, so that an older command line can read the
-answers of a newer daemon.
+Requests refuse unknown keys, so that no misspelt option is ignored. Answers accept unknown keys
+and leave open sets of names as strings, so that an older command line reads a newer daemon.
 
-Every answer with status 200 is the struct of its path. Every other status carries `ErrorAnswer`.
-A change that lost its compare-and-set, is invalid or has an unknown outcome is still answered with
-200 and `ApplyAnswer`, because the request itself was served.
+The paths are in `operationpaths`. Every answer with status 200 is the struct of its path. Every
+other status carries `ErrorAnswer`. A change that lost its compare-and-set, is invalid or has an
+unknown outcome is still answered with 200 and `ApplyAnswer`, because the request itself was served.
 
 Times named `_at` are seconds since the Unix epoch; ages and durations are in seconds.
 """
@@ -17,19 +16,6 @@
 import msgspec
 
 __all__ = [
-    "APPLY_PATH",
-    "CONFIG_PATH",
-    "DRAIN_PATH",
-    "HISTORY_PATH",
-    "MEMBERS_PATH",
-    "METRICS_PATH",
-    "REQUESTS_PATH",
-    "SLO_PATH",
-    "STATUS_PATH",
-    "UPSTREAMS_PATH",
-    "VMS_PATH",
-    "VOTERS_ADD_PATH",
-    "VOTERS_REMOVE_PATH",
     "AlertState",
     "ApplyAnswer",
     "ApplyOutcome",
@@ -62,28 +48,14 @@
     "VoterRequest",
 ]
 
-STATUS_PATH = "/status"
-UPSTREAMS_PATH = "/upstreams"
-REQUESTS_PATH = "/requests"  # `?id=ID` limits the answer to one request.
-VMS_PATH = "/vms"
-MEMBERS_PATH = "/members"
-CONFIG_PATH = "/config"
-HISTORY_PATH = "/config/history"  # `?documents=1` includes the documents.
-SLO_PATH = "/slo"
-METRICS_PATH = "/metrics"
-APPLY_PATH = "/config/apply"
-DRAIN_PATH = "/drain"
-VOTERS_ADD_PATH = "/voters/add"
-VOTERS_REMOVE_PATH = "/voters/remove"
-
-Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")]
 Address = Annotated[
-    str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
+    str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}\Z")
 ]
-OptionalDigest = Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{64})?$")]
+OptionalDigest = Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{64})?\Z")]
 Author = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
-Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 
 
 class _Request(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -220,10 +192,7 @@
 
 
 class VmEntry(_Answer):
-    """A VM known from the cloud API or from what runs on it.
-
-    `reclaim_in_seconds` is None without a reclaim notice.
-    """
+    """A VM; `reclaim_in_seconds` is None without a reclaim notice."""
 
     id: str
     state: str
