Add the operators' command line

Cause: operators drive coltsfoothead from the terminal and from scripts. Change: package coltsfoothead.cli with reads, check, diff, apply, promote, drain and voters; a small h11 client with bounds on time and size; targets from options, environment variables or a TOML file; rich tables on a terminal, aligned text without colour elsewhere, JSON on request; one exit code per kind of failure. A document is sent as written. Other writes are not sent again, since their outcome cannot be told from a later change. Ruled out: options for the target after the command as well, since every command would repeat them; falling back to the environment's address when a named target does not exist. Conclusion: complete against the stand-in; not yet run against a daemon.

--- /dev/null
+++ b/packages/cli/src/coltsfoothead/cli/documents.py
@@ -0,0 +1,70 @@
+"""Environment documents as files: reading, checking and renaming with comments kept."""
+
+import dataclasses
+import pathlib
+import re
+
+import msgspec
+
+from coltsfoothead.cli import errors
+from coltsfoothead.kernel import environment
+
+__all__ = ["Document", "load", "parse", "rename"]
+
+_NAME_LINE = re.compile(
+    r"""^([ \t]*(?:environment|"environment"|'environment')[ \t]*=[ \t]*)("[^"\n]*"|'[^'\n]*')""",
+    re.MULTILINE,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """A checked document; `text` is kept as written and is what gets applied."""
+
+    text: str
+    content: environment.Environment
+
+
+def load(path: pathlib.Path) -> Document:
+    """Reads and checks a document file.
+
+    Raises
+    ------
+    EnvironmentError
+        Naming the file, the key and what was expected.
+    """
+    try:
+        # Bytes, because text mode would change line ends and so the digest.
+        text = path.read_bytes().decode("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise environment.EnvironmentError(str(path), "$", f"cannot be read: {error}") from error
+    return parse(text, str(path))
+
+
+def parse(text: str, source: str) -> Document:
+    """Checks the text of a document; `source` names it in errors."""
+    return Document(text, environment.decode(text, source))
+
+
+def rename(document: Document, name: str) -> Document:
+    """Returns the document with another `environment` name and the rest of its text unchanged.
+
+    Raises
+    ------
+    InvalidDocumentError
+        If the name cannot be replaced without touching anything else.
+    """
+    if document.content.environment == name:
+        return document
+    wanted = msgspec.structs.replace(document.content, environment=name)
+    # A match may lie inside a multi-line string or another table, so each result is decoded.
+    for match in _NAME_LINE.finditer(document.text):
+        start, end = match.span(2)
+        text = f'{document.text[:start]}"{name}"{document.text[end:]}'
+        try:
+            content = environment.decode(text)
+        except environment.EnvironmentError:
+            continue
+        if content == wanted:
+            return Document(text, content)
+    raise errors.InvalidDocumentError(f"the environment's name cannot be changed to {name!r}")
--- /dev/null
+++ b/packages/cli/src/coltsfoothead/cli/errors.py
@@ -0,0 +1,119 @@
+"""Errors of the command line; each has a code for the error line and an exit code."""
+
+from coltsfoothead.cli import exitcodes
+
+__all__ = [
+    "BadAnswerError",
+    "CliError",
+    "ConflictError",
+    "DeclinedError",
+    "InvalidDocumentError",
+    "NotFoundError",
+    "NotInForceError",
+    "OutcomeUnknownError",
+    "RefusedError",
+    "UnauthorisedError",
+    "UnreachableError",
+    "UsageError",
+]
+
+
+class CliError(Exception):
+    """Base class of every error of the command line.
+
+    Attributes
+    ----------
+    code : str
+        Printed in front of the message.
+    exit_code : ExitCode
+    """
+
+    code = "internal"
+    exit_code = exitcodes.ExitCode.INTERNAL
+
+
+class UsageError(CliError):
+    """An option, argument, target or token file is wrong."""
+
+    code = "usage"
+    exit_code = exitcodes.ExitCode.USAGE
+
+
+class InvalidDocumentError(CliError):
+    """An environment document cannot be read or is malformed."""
+
+    code = "invalid_document"
+    exit_code = exitcodes.ExitCode.INVALID_DOCUMENT
+
+
+class UnauthorisedError(CliError):
+    """The daemon refused the bearer token."""
+
+    code = "unauthorised"
+    exit_code = exitcodes.ExitCode.UNAUTHORISED
+
+
+class UnreachableError(CliError):
+    """No address answered, and no change was made."""
+
+    code = "unreachable"
+    exit_code = exitcodes.ExitCode.UNREACHABLE
+
+
+class ConflictError(CliError):
+    """Another change is in force."""
+
+    code = "conflict"
+    exit_code = exitcodes.ExitCode.CONFLICT
+
+
+class OutcomeUnknownError(CliError):
+    """A change may or may not take effect."""
+
+    code = "outcome_unknown"
+    exit_code = exitcodes.ExitCode.OUTCOME_UNKNOWN
+
+
+class RefusedError(CliError):
+    """The daemon refused the operation.
+
+    Parameters
+    ----------
+    message : str
+    code : str
+        The code of the daemon's answer.
+    """
+
+    exit_code = exitcodes.ExitCode.REFUSED
+
+    def __init__(self, message: str, code: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+class NotFoundError(CliError):
+    """What was asked for does not exist."""
+
+    code = "not_found"
+    exit_code = exitcodes.ExitCode.NOT_FOUND
+
+
+class DeclinedError(CliError):
+    """The operator did not confirm."""
+
+    code = "declined"
+    exit_code = exitcodes.ExitCode.DECLINED
+
+
+class BadAnswerError(CliError):
+    """The answer of a read could not be understood."""
+
+    code = "bad_answer"
+    exit_code = exitcodes.ExitCode.BAD_ANSWER
+
+
+class NotInForceError(CliError):
+    """The change is accepted, but not yet in force everywhere."""
+
+    code = "not_in_force"
+    exit_code = exitcodes.ExitCode.NOT_IN_FORCE
--- /dev/null
+++ b/packages/cli/src/coltsfoothead/cli/fleetcommands.py
@@ -0,0 +1,79 @@
+"""Commands that drain daemons and change the voters."""
+
+from typing import Annotated
+
+import msgspec
+import typer
+
+from coltsfoothead.cli import errors, options, output, views
+from coltsfoothead.kernel import operationpaths, operations
+
+__all__ = ["add_commands"]
+
+_voters = typer.Typer(help="Change the voters of the replicated logs.")
+
+_Voter = Annotated[str, typer.Argument(metavar="ID", help="ID of the voter's daemon.")]
+
+
+def add_commands(app: typer.Typer) -> None:
+    """Adds the fleet commands to an application."""
+    app.command("drain")(_drain)
+    app.add_typer(_voters, name="voters")
+
+
+def _drain(
+    context: typer.Context,
+    daemon: Annotated[str, typer.Argument(metavar="DAEMON", help="ID of the daemon.")],
+    deadline_seconds: Annotated[
+        float | None,
+        typer.Option("--deadline-seconds", help="Time to finish. Default: drain_seconds."),
+    ] = None,
+    as_json: options.Json = False,
+) -> None:
+    """Stop a daemon gracefully: no new work, running requests finish or move."""
+    fields = {"daemon": daemon, "deadline_seconds": deadline_seconds}
+    request = _checked(fields, operations.DrainRequest)
+    answer = options.client(context).write(
+        operationpaths.DRAIN, request, operations.DrainAnswer, resend=False
+    )
+    _print(answer, views.drain, as_json)
+
+
+@_voters.command("add")
+def _add(
+    context: typer.Context,
+    voter: _Voter,
+    address: Annotated[str, typer.Option("--address", help="Peer address, IP:port.")],
+    zone: Annotated[str, typer.Option("--zone", help="Zone of the voter.")],
+    as_json: options.Json = False,
+) -> None:
+    """Add a voter once it has caught up as a learner."""
+    _change(
+        context, operationpaths.VOTERS_ADD, {"id": voter, "address": address, "zone": zone}, as_json
+    )
+
+
+@_voters.command("remove")
+def _remove(context: typer.Context, voter: _Voter, as_json: options.Json = False) -> None:
+    """Remove a voter."""
+    _change(context, operationpaths.VOTERS_REMOVE, {"id": voter}, as_json)
+
+
+def _change(context: typer.Context, path: str, fields: dict, as_json: bool) -> None:
+    request = _checked(fields, operations.VoterRequest)
+    answer = options.client(context).write(path, request, operations.VoterAnswer, resend=False)
+    _print(answer, views.voters, as_json)
+
+
+def _checked(fields: dict, kind: type[msgspec.Struct]) -> msgspec.Struct:
+    try:
+        return msgspec.convert(fields, kind)
+    except msgspec.ValidationError as error:
+        raise errors.UsageError(str(error)) from error
+
+
+def _print(answer: msgspec.Struct, tables, as_json: bool) -> None:
+    if as_json:
+        output.print_json(answer)
+    else:
+        output.print_tables(tables(answer))
--- /dev/null
+++ b/packages/cli/src/coltsfoothead/cli/main.py
@@ -0,0 +1,85 @@
+"""Entry point of the `coltsfoothead` command."""
+
+import sys
+from typing import Annotated
+
+import typer
+
+from coltsfoothead.cli import (
+    configcommands,
+    errors,
+    exitcodes,
+    fleetcommands,
+    httpclient,
+    options,
+    output,
+    readcommands,
+    targets,
+)
+from coltsfoothead.kernel import environment
+
+__all__ = ["app", "main"]
+
+# Without markup mode typer prints errors and help as plain text.
+app = typer.Typer(help="Operate coltsfoothead.", add_completion=False, rich_markup_mode=None)
+configcommands.add_commands(app)
+readcommands.add_commands(app)
+fleetcommands.add_commands(app)
+
+_Seconds = Annotated[float, typer.Option(min=0.001, max=3600)]
+
+
+@app.callback()
+def _root(
+    context: typer.Context,
+    address: Annotated[
+        str | None,
+        typer.Option(help=f"IP:port[,IP:port...]; else {targets.ADDRESS_VARIABLE}."),
+    ] = None,
+    token_file: Annotated[
+        str | None,
+        typer.Option(help=f"File of the bearer token; else {targets.TOKEN_VARIABLE}."),
+    ] = None,
+    target: Annotated[str | None, typer.Option(help="Name of a target in the file.")] = None,
+    targets_file: Annotated[
+        str | None,
+        typer.Option(help=f"TOML file of targets; else {targets.TARGETS_VARIABLE}."),
+    ] = None,
+    connect_timeout_seconds: _Seconds = httpclient.CONNECT_SECONDS,
+    timeout_seconds: _Seconds = httpclient.ANSWER_SECONDS,
+) -> None:
+    selection = targets.Selection(address, token_file, target, targets_file)
+    timeouts = httpclient.Timeouts(connect_timeout_seconds, timeout_seconds)
+    context.obj = options.State(selection, timeouts)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs one command and returns its exit code.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Arguments after the program name; None takes those of the process.
+    """
+    command = typer.main.get_command(app)
+    try:
+        code = command.main(arguments, prog_name="coltsfoothead", standalone_mode=False)
+        if code == exitcodes.ExitCode.INTERRUPTED:
+            return _fail("interrupted", "no change was made", exitcodes.ExitCode.INTERRUPTED)
+        return int(code or exitcodes.ExitCode.OK)
+    except errors.CliError as error:
+        return _fail(error.code, str(error), error.exit_code)
+    except environment.EnvironmentError as error:
+        kind = errors.InvalidDocumentError
+        return _fail(kind.code, str(error), kind.exit_code)
+    except typer.TyperException as error:
+        return _fail(errors.UsageError.code, error.format_message(), exitcodes.ExitCode.USAGE)
+
+
+def _fail(code: str, message: str, exit_code: exitcodes.ExitCode) -> int:
+    output.print_error(code, message)
+    return exit_code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/cli/src/coltsfoothead/cli/targets.py
@@ -0,0 +1,118 @@
+"""Finds the addresses and the token of a target from options, a targets file or the environment."""
+
+import dataclasses
+import os
+import pathlib
+import re
+
+import msgspec
+
+from coltsfoothead.cli import errors
+
+__all__ = [
+    "ADDRESS_VARIABLE",
+    "TARGETS_VARIABLE",
+    "TOKEN_VARIABLE",
+    "Selection",
+    "Target",
+    "parse_addresses",
+    "resolve",
+]
+
+ADDRESS_VARIABLE = "COLTSFOOTHEAD_ADDRESS"
+TOKEN_VARIABLE = "COLTSFOOTHEAD_TOKEN_FILE"
+TARGETS_VARIABLE = "COLTSFOOTHEAD_TARGETS_FILE"
+
+_ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})", re.ASCII)
+_TOKEN = re.compile(r"[!-~]+")
+
+
+class _Entry(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    addresses: tuple[str, ...]
+    token_file: str
+
+
+class _TargetsFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    targets: dict[str, _Entry]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selection:
+    """What the command line says about the target; None where it says nothing."""
+
+    address: str | None = None
+    token_file: str | None = None
+    target: str | None = None
+    targets_file: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Addresses to try in turn, and the bearer token."""
+
+    addresses: tuple[tuple[str, int], ...]
+    token: str = dataclasses.field(repr=False)
+
+
+def resolve(selection: Selection) -> Target:
+    """Returns the target: options first, then the named target, then environment variables.
+
+    Raises
+    ------
+    UsageError
+        If the target is not given, given twice or malformed, or a file cannot be read.
+    """
+    if selection.address and selection.target:
+        raise errors.UsageError("--address and --target exclude each other")
+    addresses, token_file = selection.address, selection.token_file
+    if selection.target:
+        entry, folder = _named(selection)
+        addresses = ",".join(entry.addresses)
+        token_file = token_file or str(folder / entry.token_file)
+    addresses = addresses or os.environ.get(ADDRESS_VARIABLE)
+    token_file = token_file or os.environ.get(TOKEN_VARIABLE)
+    if not addresses:
+        raise errors.UsageError(f"no address: give --address, --target or {ADDRESS_VARIABLE}")
+    if not token_file:
+        raise errors.UsageError(f"no token: give --token-file or {TOKEN_VARIABLE}")
+    return Target(parse_addresses(addresses), _read_token(token_file))
+
+
+def parse_addresses(text: str) -> tuple[tuple[str, int], ...]:
+    """Returns the (host, port) pairs of a comma-separated list of IP:port."""
+    found = []
+    for part in text.split(","):
+        match = _ADDRESS.fullmatch(part.strip())
+        if not match or not 0 < int(match[2]) < 65536:
+            raise errors.UsageError(f"expected IP:port, got {part.strip()!r}")
+        found.append((match[1].strip("[]"), int(match[2])))
+    return tuple(found)
+
+
+def _named(selection: Selection) -> tuple[_Entry, pathlib.Path]:
+    name = selection.targets_file or os.environ.get(TARGETS_VARIABLE)
+    if not name:
+        raise errors.UsageError(f"--target needs --targets-file or {TARGETS_VARIABLE}")
+    path = pathlib.Path(name)
+    try:
+        listed = msgspec.toml.decode(_read(path), type=_TargetsFile).targets
+    except msgspec.MsgspecError as error:
+        raise errors.UsageError(f"{path}: {error}") from error
+    if selection.target not in listed:
+        known = ", ".join(sorted(listed)) or "none"
+        raise errors.UsageError(f"{path}: no target {selection.target!r}; known: {known}")
+    return listed[selection.target], path.parent
+
+
+def _read_token(name: str) -> str:
+    token = _read(pathlib.Path(name)).strip()
+    if not _TOKEN.fullmatch(token):
+        raise errors.UsageError(f"{name}: expected one token of printable ASCII characters")
+    return token
+
+
+def _read(path: pathlib.Path) -> str:
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.UsageError(f"{path}: cannot be read: {error}") from error
