--- /dev/null
+++ b/packages/testsupport/src/coltsfoothead/testsupport/caller.py
@@ -0,0 +1,242 @@
+"""Recording caller: sends chat and service requests and keeps everything that came back."""
+
+import argparse
+import asyncio
+import dataclasses
+import sys
+import time
+import uuid
+from typing import Any
+
+import msgspec
+
+from coltsfoothead.testsupport import errors, sse, webclient
+
+__all__ = ["Caller", "Part", "Received", "Record", "main"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """One event or comment with the monotonic time of its arrival."""
+
+    at: float
+    event: sse.Event
+
+
+@dataclasses.dataclass(slots=True)
+class Part:
+    """One connection of a request.
+
+    `ended` is `complete`, `refused` (no connection, nothing sent), `broken` or `timeout`.
+    """
+
+    sent_at: float
+    path: str
+    status: int | None = None
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    head_at: float | None = None
+    events: list[Received] = dataclasses.field(default_factory=list)
+    body: bytes = b""
+    ended: str = ""
+    ended_at: float | None = None
+    error: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """One request with all its connections."""
+
+    kind: str
+    method: str
+    path: str
+    body: Any
+    sent_headers: dict[str, str]
+    intended_at: float
+    request_id: str = ""
+    parts: list[Part] = dataclasses.field(default_factory=list)
+
+    @property
+    def status(self) -> int | None:
+        return self.parts[-1].status if self.parts else None
+
+    @property
+    def done(self) -> bool:
+        """Tells whether the answer came to its end."""
+        if self.parts and self.parts[-1].ended == "complete" and not self.streamed:
+            return True
+        return any(item.event.data == "[DONE]" for part in self.parts for item in part.events)
+
+    @property
+    def streamed(self) -> bool:
+        return self.kind == "chat" and bool(self.body.get("stream"))
+
+    @property
+    def last_event_id(self) -> str | None:
+        identifiers = [
+            item.event.id for part in self.parts for item in part.events if item.event.id
+        ]
+        return identifiers[-1] if identifiers else None
+
+    def tokens(self) -> list[tuple[int, str]]:
+        """Returns offset and text of every streamed token, in order of arrival."""
+        found = []
+        for part in self.parts:
+            for item in part.events:
+                if item.event.id is not None and item.event.data:
+                    choice = msgspec.json.decode(item.event.data)["choices"][0]
+                    found.append((int(item.event.id), choice["delta"].get("content", "")))
+        return found
+
+    def text(self) -> str:
+        """Returns the answer's text."""
+        if self.streamed:
+            return "".join(text for _, text in self.tokens())
+        answer = msgspec.json.decode(self.parts[-1].body)
+        return answer["choices"][0]["message"]["content"]
+
+    def error(self) -> dict[str, Any] | None:
+        """Returns the error object of a refusal or failure."""
+        if self.status is None or self.status < 400:
+            return None
+        try:
+            return msgspec.json.decode(self.parts[-1].body).get("error")
+        except (msgspec.DecodeError, AttributeError):
+            return None
+
+
+class Caller:
+    """Sends requests to one or more entries in turn and records them.
+
+    Parameters
+    ----------
+    addresses : list of str
+        Entries, or the balancer before them.
+    key : str
+        Bearer key of the organisation.
+    timeout_seconds : float
+        Longest time without any byte from the other side.
+    """
+
+    def __init__(self, addresses: list[str], key: str = "", timeout_seconds: float = 30.0):
+        self.records: list[Record] = []
+        self._addresses = list(addresses)
+        self._headers = {"authorization": f"Bearer {key}"} if key else {}
+        self._timeout_seconds = timeout_seconds
+        self._next = 0
+
+    async def chat(
+        self,
+        content: str,
+        *,
+        model: str = "small",
+        stream: bool = True,
+        headers: dict[str, str] | None = None,
+        intended_at: float | None = None,
+        **fields: Any,
+    ) -> Record:
+        """Sends a chat request with one user message and reads its answer to the end."""
+        messages = [{"role": "user", "content": content}]
+        body = {"model": model, "messages": messages, "stream": stream, **fields}
+        path = "/v1/chat/completions"
+        record = self._record("chat", "POST", path, body, headers, intended_at)
+        await self._send(record, "POST", path, json=body, headers=record.sent_headers)
+        return record
+
+    async def call(
+        self,
+        service: str,
+        path: str,
+        *,
+        method: str = "POST",
+        body: Any = None,
+        key: str | None = None,
+        headers: dict[str, str] | None = None,
+        intended_at: float | None = None,
+    ) -> Record:
+        """Sends a service request through `/services/SERVICE/PATH`."""
+        headers = {**(headers or {}), **({"idempotency-key": key} if key else {})}
+        path = f"/services/{service}/{path.lstrip('/')}"
+        record = self._record("service", method, path, body, headers, intended_at)
+        await self._send(record, method, path, json=body, headers=record.sent_headers)
+        return record
+
+    async def repeat(self, record: Record) -> Part:
+        """Sends the same request again, as a caller does whose answer was lost."""
+        return await self._send(
+            record, record.method, record.path, json=record.body, headers=record.sent_headers
+        )
+
+    async def reconnect(self, record: Record, address: str | None = None) -> Part:
+        """Asks for the rest of an answer by request ID and last event ID."""
+        headers = dict(self._headers)
+        if record.last_event_id is not None:
+            headers["last-event-id"] = record.last_event_id
+        path = f"/v1/requests/{record.request_id}"
+        return await self._send(record, "GET", path, headers=headers, address=address)
+
+    def _record(self, kind, method, path, body, headers, intended_at) -> Record:
+        all_headers = {**self._headers, **(headers or {})}
+        at = time.monotonic() if intended_at is None else intended_at
+        request_id = all_headers.get("x-request-id", "")
+        record = Record(kind, method, path, body, all_headers, at, request_id)
+        self.records.append(record)
+        return record
+
+    async def _send(
+        self, record: Record, method: str, path: str, address: str | None = None, **arguments: Any
+    ) -> Part:
+        if address is None:
+            address = self._addresses[self._next % len(self._addresses)]
+            self._next += 1
+        part = Part(time.monotonic(), path)
+        record.parts.append(part)
+        try:
+            await self._exchange(record, part, address, method, path, arguments)
+            part.ended = "complete"
+        except errors.ConnectError as error:
+            part.ended, part.error = "refused", str(error)
+        except errors.BrokenConnectionError as error:
+            part.ended, part.error = "broken", str(error)
+        except TimeoutError:
+            part.ended = "timeout"
+        part.ended_at = time.monotonic()
+        return part
+
+    async def _exchange(self, record, part, address, method, path, arguments) -> None:
+        async with asyncio.timeout(self._timeout_seconds) as silence:
+            async with webclient.stream(address, method, path, **arguments) as reply:
+                part.status, part.headers, connection = reply
+                part.head_at = time.monotonic()
+                record.request_id = part.headers.get("x-request-id") or record.request_id
+                chunks = self._watched(connection.chunks(), silence)
+                if part.headers.get("content-type", "").startswith("text/event-stream"):
+                    async for event in sse.parse(chunks):
+                        part.events.append(Received(time.monotonic(), event))
+                else:
+                    async for chunk in chunks:
+                        part.body += chunk
+
+    async def _watched(self, chunks, silence: asyncio.Timeout):
+        loop = asyncio.get_running_loop()
+        async for chunk in chunks:
+            silence.reschedule(loop.time() + self._timeout_seconds)
+            yield chunk
+
+
+def main() -> None:
+    """Sends one chat request and prints its record as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--target", action="append", required=True, help="IP:PORT; repeatable")
+    parser.add_argument("--key", default="")
+    parser.add_argument("--model", default="small")
+    parser.add_argument("--request-id", default="")
+    parser.add_argument("prompt")
+    options = parser.parse_args()
+    caller = Caller(options.target, options.key)
+    headers = {"x-request-id": options.request_id or uuid.uuid4().hex}
+    record = asyncio.run(caller.chat(options.prompt, model=options.model, headers=headers))
+    sys.stdout.buffer.write(msgspec.json.encode(record) + b"\n")
+
+
+if __name__ == "__main__":
+    main()
