--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/transport/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC links between the processes of one cluster; needs the extra ``grpc``."""
