Add durable storage for one replica

The log carries term, vote, entries and the table of peers in one record per sync, so at most the last record can be torn and any bad record before a good one is corruption. Each start also draws a boot number, which tells two starts with the same incarnation apart.

Ruled out: a separate file for term and vote (a second sync per election and per term change); several records per write (pages of one write may reach the disk out of order, which would look like corruption).

--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/storage/errors.py
@@ -0,0 +1,36 @@
+"""Errors of the storage package."""
+
+from coltsfoothead.coordination import errors
+
+__all__ = [
+    "CorruptionError",
+    "FolderLockedError",
+    "MissingFileError",
+    "StorageError",
+    "WrongClusterError",
+    "WrongReplicaError",
+]
+
+
+class StorageError(errors.CoordinationError):
+    """Base class of storage errors."""
+
+
+class CorruptionError(StorageError):
+    """Synced data cannot be read back; the replica must not start on this folder."""
+
+
+class FolderLockedError(StorageError):
+    """Another process has the data folder open."""
+
+
+class MissingFileError(StorageError):
+    """A file that was to be read does not exist."""
+
+
+class WrongClusterError(StorageError):
+    """The data folder belongs to another cluster."""
+
+
+class WrongReplicaError(StorageError):
+    """The data folder belongs to another replica of the cluster."""
--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/storage/schema.py
@@ -0,0 +1,72 @@
+"""Structures that are stored in the data folder."""
+
+import msgspec
+
+__all__ = ["Batch", "Entry", "HardState", "Identity", "Member", "PeerRecord", "Snapshot"]
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """Entry of the replicated log; `kind` is one of the constants of `replication.logview`."""
+
+    index: int
+    term: int
+    kind: int
+    data: bytes
+
+
+class HardState(msgspec.Struct, frozen=True, array_like=True):
+    """Current term and the candidate voted for in it (empty if none)."""
+
+    term: int = 0
+    vote: str = ""
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """Member of the replication group."""
+
+    address: str
+    zone: str
+    voter: bool
+
+
+class PeerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Highest start of a peer that was seen, and the highest index that it acknowledged."""
+
+    incarnation: int = 0
+    boot: int = 0
+    acknowledged: int = 0
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """State machine content after applying `index`."""
+
+    index: int
+    term: int
+    members: dict[str, Member]
+    data: bytes
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Identity of a data folder.
+
+    `boot` is a random number drawn at each start. It tells two starts with the same incarnation
+    apart, which happens when a folder is restored from a copy.
+    """
+
+    cluster: str
+    replica: str
+    incarnation: int
+    boot: int
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True):
+    """One synced write to the log.
+
+    With `base` (index and term before the first entry) the batch replaces the whole log;
+    otherwise its entries replace those from their first index on.
+    """
+
+    hard_state: HardState
+    entries: tuple[Entry, ...] = ()
+    peers: dict[str, PeerRecord] = {}
+    base: tuple[int, int] | None = None
