--- a/packages/cli/src/coltsfoothead/cli/changes.py
+++ b/packages/cli/src/coltsfoothead/cli/changes.py
@@ -50,9 +50,20 @@
         raise errors.UsageError(str(error)) from error
 
 
-def apply(client: operatorsclient.Client, request: operations.ApplyRequest, as_json: bool) -> None:
+def apply(
+    client: operatorsclient.Client,
+    request: operations.ApplyRequest,
+    as_json: bool,
+    *,
+    takes_expected: bool = True,
+) -> None:
     """Sends a change and prints its outcome.
 
+    Parameters
+    ----------
+    takes_expected : bool
+        Whether the command has options for the expected version, to be printed for a resend.
+
     Raises
     ------
     CliError
@@ -80,7 +91,9 @@
         case operations.ApplyOutcome.INVALID:
             raise errors.InvalidDocumentError(problem)
         case operations.ApplyOutcome.UNKNOWN:
-            raise errors.OutcomeUnknownError(f"{problem}; resend with {_resend_options(request)}")
+            raise errors.OutcomeUnknownError(
+                f"{problem}; resend with {_resend_options(request, takes_expected)}"
+            )
 
 
 def _report_accepted(
@@ -96,11 +109,12 @@
         )
 
 
-def _resend_options(request: operations.ApplyRequest) -> str:
-    # Without the expected version a resend would overwrite a change that won in the meantime.
-    options = ["--change-id", request.change_id]
-    options += ["--expect-version", str(request.expected_version)]
-    options += ["--expect-digest", request.expected_digest, "--author", request.author]
+def _resend_options(request: operations.ApplyRequest, takes_expected: bool) -> str:
+    options = ["--change-id", request.change_id, "--author", request.author]
+    if takes_expected:
+        # Without the expected version a resend would overwrite a change that won in the meantime.
+        options += ["--expect-version", str(request.expected_version)]
+        options += ["--expect-digest", request.expected_digest]
     return shlex.join(options)
 
 
--- a/packages/cli/src/coltsfoothead/cli/configcommands.py
+++ b/packages/cli/src/coltsfoothead/cli/configcommands.py
@@ -138,7 +138,7 @@
     request = changes.request_of(document, identity, in_force.version, in_force.digest, not no_wait)
     if not yes:
         _confirm(f"Replace version {in_force.version} at {production}?")
-    changes.apply(client, request, as_json)
+    changes.apply(client, request, as_json, takes_expected=False)
 
 
 def _already_in_force(in_force: operations.ConfigAnswer) -> operations.ApplyAnswer:
--- a/packages/cli/tests/test_cli_changes.py
+++ b/packages/cli/tests/test_cli_changes.py
@@ -1,6 +1,7 @@
 """Tests of the commands that check, compare and change."""
 
 import json
+import shlex
 import unittest.mock
 
 import msgspec
@@ -119,10 +120,8 @@
             self.assertEqual((_CODE.OUTCOME_UNKNOWN, "unknown"), (code, json.loads(out)["outcome"]))
             self.assertEqual(1, err.count("\n"))
             change_id = self.applied()[-1].change_id
-            options = (
-                f"--change-id {change_id} --expect-version 0 --expect-digest '' --author 'ann b'"
-            )
-            self.assertIn(f"resend with {options}", err)
+            options = f"--change-id {change_id} --author 'ann b' --expect-version 0"
+            self.assertIn(f"resend with {options} --expect-digest ''", err)
         sent = ("--change-id", change_id, "--expect-version", "0", "--expect-digest", "")
         self.assertEqual(_CODE.OK, self.run_cli("apply", self.first, *sent)[0])
 
@@ -220,6 +219,15 @@
             code, _, _ = self.run_cli("promote", *self.places)
         self.assertEqual((_CODE.CONFLICT, 2), (code, len(self.production.history)))
 
+    def test_an_unknown_outcome_can_be_resent(self):
+        """Guards against printing options that promote does not take."""
+        self.production.faults = [standin.LOSE_BEFORE] * 2
+        code, _, err = self.run_cli("promote", *self.places, "--yes")
+        self.assertEqual(_CODE.OUTCOME_UNKNOWN, code)
+        options = shlex.split(err.partition("resend with ")[2])
+        code, _, err = self.run_cli("promote", *self.places, "--yes", *options)
+        self.assertEqual((_CODE.OK, options[1]), (code, self.production.history[-1].change_id))
+
     def test_places_can_be_named_targets(self):
         """Guards against one token being sent to both installations."""
         self.write("live-token", standin.TOKEN)
