Test the renaming of documents and name early closes plainly

Change: a test with text that looks like the name inside a multi-line string; the message says "connection closed early or not HTTP". Ruled out: parsing TOML with positions, since no library in use gives them.

--- a/packages/cli/src/coltsfoothead/cli/httpclient.py
+++ b/packages/cli/src/coltsfoothead/cli/httpclient.py
@@ -84,8 +84,7 @@
             connection.sendall(message)
             return _receive(connection, protocol, deadline)
         except (OSError, h11.RemoteProtocolError) as error:
-            reason = "timed out" if isinstance(error, TimeoutError) else str(error)
-            raise AnswerLostError(f"{name}: no answer: {reason}") from error
+            raise AnswerLostError(f"{name}: no answer: {_reason(error)}") from error
 
 
 def _receive(connection: socket.socket, protocol: h11.Connection, deadline: float) -> Response:
@@ -110,6 +109,16 @@
                 raise ConnectionError("connection closed")
 
 
+def _reason(error: Exception) -> str:
+    match error:
+        case TimeoutError():
+            return "timed out"
+        case h11.RemoteProtocolError():
+            return f"connection closed early or not HTTP ({error})"
+        case _:
+            return str(error)
+
+
 def _remaining(deadline: float) -> float:
     remaining = deadline - time.monotonic()
     if remaining <= 0:
--- a/packages/cli/tests/test_cli_changes.py
+++ b/packages/cli/tests/test_cli_changes.py
@@ -7,7 +7,7 @@
 import msgspec
 import standin
 
-from coltsfoothead.cli import exitcodes
+from coltsfoothead.cli import documents, errors, exitcodes
 from coltsfoothead.kernel import environment, operationerrors, operationpaths, operations
 
 _CODE = exitcodes.ExitCode
@@ -198,6 +198,18 @@
         self.assertEqual((_CODE.OK, "no difference\n", ""), again)
         self.assertEqual(2, len(self.production.history))
 
+    def test_only_the_name_is_replaced(self):
+        """Guards against replacing text that looks like the environment's name elsewhere."""
+        lookalike = 'environment = "other"\n'
+        head = f'policies.routing = """\n{lookalike}"""\n'
+        for name_line in (lookalike, "'environment'='other' # name\n"):
+            document = documents.parse(head + name_line, "sample")
+            renamed = documents.rename(document, "live")
+            self.assertEqual("live", renamed.content.environment)
+            self.assertTrue(renamed.text.startswith(head))
+        with self.assertRaises(errors.InvalidDocumentError):
+            documents.rename(documents.parse('environment = """other"""', "sample"), "live")
+
     def test_it_asks_first(self):
         """Guards against a promotion without a yes, also when there is no terminal to ask."""
         for answer in ("n\n", "", "\n"):
