--- a/packages/testsupport/src/coltsfoothead/testsupport/announce.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/announce.py
@@ -89,6 +89,7 @@
         self.accepted = 0
         self.failed = 0
         self.enabled = True
+        self.leaving_since: float | None = None
         self._urls = list(urls)
         self._where = where
         self._describe = describe
@@ -99,7 +100,7 @@
 
     @property
     def leaving(self) -> bool:
-        return self._deadline is not None
+        return self.leaving_since is not None
 
     def renew(self) -> None:
         """Announces at once, for example after a change of the models."""
@@ -107,7 +108,8 @@
 
     def leave(self, deadline_seconds: float) -> None:
         """Announces `leaving` from now on."""
-        self._deadline = time.monotonic() + deadline_seconds
+        self.leaving_since = time.monotonic()
+        self._deadline = self.leaving_since + deadline_seconds
         self.renew()
 
     def body(self) -> dict[str, Any]:
--- a/packages/testsupport/src/coltsfoothead/testsupport/caller.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/caller.py
@@ -2,7 +2,6 @@
 
 import argparse
 import asyncio
-import dataclasses
 import sys
 import time
 import uuid
@@ -10,98 +9,10 @@
 
 import msgspec
 
-from coltsfoothead.testsupport import errors, sse, webclient
+from coltsfoothead.testsupport import errors, records, sse, webclient
 
-__all__ = ["Caller", "Part", "Received", "Record", "main"]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Received:
-    """One event or comment with the monotonic time of its arrival."""
-
-    at: float
-    event: sse.Event
-
-
-@dataclasses.dataclass(slots=True)
-class Part:
-    """One connection of a request.
-
-    `ended` is `complete`, `refused` (no connection, nothing sent), `broken` or `timeout`.
-    """
-
-    sent_at: float
-    path: str
-    status: int | None = None
-    headers: dict[str, str] = dataclasses.field(default_factory=dict)
-    head_at: float | None = None
-    events: list[Received] = dataclasses.field(default_factory=list)
-    body: bytes = b""
-    ended: str = ""
-    ended_at: float | None = None
-    error: str = ""
-
-
-@dataclasses.dataclass(slots=True)
-class Record:
-    """One request with all its connections."""
-
-    kind: str
-    method: str
-    path: str
-    body: Any
-    sent_headers: dict[str, str]
-    intended_at: float
-    request_id: str = ""
-    parts: list[Part] = dataclasses.field(default_factory=list)
-
-    @property
-    def status(self) -> int | None:
-        return self.parts[-1].status if self.parts else None
-
-    @property
-    def done(self) -> bool:
-        """Tells whether the answer came to its end."""
-        if self.parts and self.parts[-1].ended == "complete" and not self.streamed:
-            return True
-        return any(item.event.data == "[DONE]" for part in self.parts for item in part.events)
-
-    @property
-    def streamed(self) -> bool:
-        return self.kind == "chat" and bool(self.body.get("stream"))
-
-    @property
-    def last_event_id(self) -> str | None:
-        identifiers = [
-            item.event.id for part in self.parts for item in part.events if item.event.id
-        ]
-        return identifiers[-1] if identifiers else None
-
-    def tokens(self) -> list[tuple[int, str]]:
-        """Returns offset and text of every streamed token, in order of arrival."""
-        found = []
-        for part in self.parts:
-            for item in part.events:
-                if item.event.id is not None and item.event.data:
-                    choice = msgspec.json.decode(item.event.data)["choices"][0]
-                    found.append((int(item.event.id), choice["delta"].get("content", "")))
-        return found
-
-    def text(self) -> str:
-        """Returns the answer's text."""
-        if self.streamed:
-            return "".join(text for _, text in self.tokens())
-        answer = msgspec.json.decode(self.parts[-1].body)
-        return answer["choices"][0]["message"]["content"]
-
-    def error(self) -> dict[str, Any] | None:
-        """Returns the error object of a refusal or failure."""
-        if self.status is None or self.status < 400:
-            return None
-        try:
-            return msgspec.json.decode(self.parts[-1].body).get("error")
-        except (msgspec.DecodeError, AttributeError):
-            return None
+__all__ = ["Caller", "main"]
+_RECONNECT_PAUSE_SECONDS = 0.1
 
 
 class Caller:
@@ -118,7 +29,7 @@
     """
 
     def __init__(self, addresses: list[str], key: str = "", timeout_seconds: float = 30.0):
-        self.records: list[Record] = []
+        self.records: list[records.Record] = []
         self._addresses = list(addresses)
         self._headers = {"authorization": f"Bearer {key}"} if key else {}
         self._timeout_seconds = timeout_seconds
@@ -133,7 +44,7 @@
         headers: dict[str, str] | None = None,
         intended_at: float | None = None,
         **fields: Any,
-    ) -> Record:
+    ) -> records.Record:
         """Sends a chat request with one user message and reads its answer to the end."""
         messages = [{"role": "user", "content": content}]
         body = {"model": model, "messages": messages, "stream": stream, **fields}
@@ -152,7 +63,7 @@
         key: str | None = None,
         headers: dict[str, str] | None = None,
         intended_at: float | None = None,
-    ) -> Record:
+    ) -> records.Record:
         """Sends a service request through `/services/SERVICE/PATH`."""
         headers = {**(headers or {}), **({"idempotency-key": key} if key else {})}
         path = f"/services/{service}/{path.lstrip('/')}"
@@ -160,13 +71,13 @@
         await self._send(record, method, path, json=body, headers=record.sent_headers)
         return record
 
-    async def repeat(self, record: Record) -> Part:
+    async def repeat(self, record: records.Record) -> records.Part:
         """Sends the same request again, as a caller does whose answer was lost."""
         return await self._send(
             record, record.method, record.path, json=record.body, headers=record.sent_headers
         )
 
-    async def reconnect(self, record: Record, address: str | None = None) -> Part:
+    async def reconnect(self, record: records.Record, address: str | None = None) -> records.Part:
         """Asks for the rest of an answer by request ID and last event ID."""
         headers = dict(self._headers)
         if record.last_event_id is not None:
@@ -174,21 +85,34 @@
         path = f"/v1/requests/{record.request_id}"
         return await self._send(record, "GET", path, headers=headers, address=address)
 
-    def _record(self, kind, method, path, body, headers, intended_at) -> Record:
+    async def finish(self, record: records.Record, seconds: float) -> bool:
+        """Reconnects until the answer came to its end; False if it did not in time."""
+        deadline = time.monotonic() + seconds
+        while not record.done and time.monotonic() < deadline:
+            await asyncio.sleep(_RECONNECT_PAUSE_SECONDS)
+            await self.reconnect(record)
+        return record.done
+
+    def _record(self, kind, method, path, body, headers, intended_at) -> records.Record:
         all_headers = {**self._headers, **(headers or {})}
         at = time.monotonic() if intended_at is None else intended_at
         request_id = all_headers.get("x-request-id", "")
-        record = Record(kind, method, path, body, all_headers, at, request_id)
+        record = records.Record(kind, method, path, body, all_headers, at, request_id)
         self.records.append(record)
         return record
 
     async def _send(
-        self, record: Record, method: str, path: str, address: str | None = None, **arguments: Any
-    ) -> Part:
+        self,
+        record: records.Record,
+        method: str,
+        path: str,
+        address: str | None = None,
+        **arguments: Any,
+    ) -> records.Part:
         if address is None:
             address = self._addresses[self._next % len(self._addresses)]
             self._next += 1
-        part = Part(time.monotonic(), path)
+        part = records.Part(time.monotonic(), path)
         record.parts.append(part)
         try:
             await self._exchange(record, part, address, method, path, arguments)
@@ -211,7 +135,7 @@
                 chunks = self._watched(connection.chunks(), silence)
                 if part.headers.get("content-type", "").startswith("text/event-stream"):
                     async for event in sse.parse(chunks):
-                        part.events.append(Received(time.monotonic(), event))
+                        part.events.append(records.Received(time.monotonic(), event))
                 else:
                     async for chunk in chunks:
                         part.body += chunk
--- a/packages/testsupport/src/coltsfoothead/testsupport/engine.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/engine.py
@@ -107,6 +107,7 @@
             "waiting": self.batch.waiting_count,
             "executions": executions,
             "execution_log": self.executions,
+            "leaving_since": self.announcer.leaving_since,
             "orders": self.orders.seen,
             "announcements": {"accepted": self.announcer.accepted, "failed": self.announcer.failed},
         }
--- /dev/null
+++ b/packages/testsupport/src/coltsfoothead/testsupport/harness.py
@@ -0,0 +1,207 @@
+"""Process harness: starts daemons and fakes as child processes and always ends them."""
+
+import argparse
+import asyncio
+import pathlib
+import shlex
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import tomli_w
+
+from coltsfoothead.testsupport import errors, processes, webclient
+
+__all__ = ["Harness", "free_ports", "main", "wait_until"]
+
+_POLL_SECONDS = 0.02
+_READY_TIMEOUT_SECONDS = 15.0
+_DAEMON_MODULE = "coltsfoothead.daemon.main"
+
+
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Returns distinct free TCP ports chosen by the kernel.
+
+    Notes
+    -----
+    Another process may take a port before it is used; port 0 is safer where it is possible.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for opened in sockets:
+            opened.bind((host, 0))
+        return [opened.getsockname()[1] for opened in sockets]
+    finally:
+        for opened in sockets:
+            opened.close()
+
+
+async def wait_until(
+    condition: Callable[[], bool | Awaitable[bool]], seconds: float, what: str
+) -> None:
+    """Waits until a condition, which may be a coroutine function, is true.
+
+    Raises
+    ------
+    NotReadyError
+        If it was not true in time; the message holds `what`.
+    """
+    deadline = time.monotonic() + seconds
+    while True:
+        result = condition()
+        if await result if isinstance(result, Awaitable) else result:
+            return
+        if time.monotonic() >= deadline:
+            raise errors.NotReadyError(f"{what}: not within {seconds} s")
+        await asyncio.sleep(_POLL_SECONDS)
+
+
+class Harness:
+    """Context manager that owns a temporary folder and child processes.
+
+    Parameters
+    ----------
+    keep : bool
+        Keeps the folder with settings and logs, for example after a failure.
+    """
+
+    def __init__(self, keep: bool = False):
+        self.processes: dict[str, processes.Process] = {}
+        self.folder = pathlib.Path()
+        self._keep = keep
+
+    async def __aenter__(self) -> "Harness":
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="coltsfoothead-"))
+        return self
+
+    async def __aexit__(self, *exception) -> None:
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            await process.wait()
+            processes.live_pids.discard(process.pid)
+        if not self._keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    async def start_fake(
+        self, module: str, *arguments: str, name: str | None = None
+    ) -> processes.Process:
+        """Starts `python -m coltsfoothead.testsupport.MODULE` and waits for its address."""
+        name = name or f"{module}-{len(self.processes) + 1}"
+        process = await self.spawn(name, f"coltsfoothead.testsupport.{module}", *arguments)
+
+        def listening() -> bool:
+            process.check_running()
+            found = [line for line in process.output().splitlines() if line.startswith("listening")]
+            process.address = found[0].split()[1] if found else ""
+            return bool(found)
+
+        await wait_until(listening, _READY_TIMEOUT_SECONDS, f"address of {name}")
+        return process
+
+    async def start_daemon(
+        self,
+        name: str,
+        settings: dict[str, Any],
+        ready_address: str,
+        *,
+        ready_path: str = "/readyz",
+        seconds: float = _READY_TIMEOUT_SECONDS,
+        module: str = _DAEMON_MODULE,
+        wait: bool = True,
+    ) -> processes.Process:
+        """Writes the settings and starts a daemon with them.
+
+        Parameters
+        ----------
+        name : str
+            Name of the process, the settings file and the log.
+        settings : dict
+            Content of the settings file.
+        ready_address, ready_path : str
+            Where `GET` answers 200 once the daemon is ready.
+        seconds : float
+            Deadline for that.
+        wait : bool
+            False starts the daemon without waiting, for example to start a quorum at once; call
+            `wait_ready` later.
+        """
+        path = self.write_settings(name, settings)
+        process = await self.spawn(name, module, "run", str(path))
+        process.address = ready_address
+        if wait:
+            await self.wait_ready(process, ready_path, seconds)
+        return process
+
+    async def wait_ready(
+        self,
+        process: processes.Process,
+        path: str = "/readyz",
+        seconds: float = _READY_TIMEOUT_SECONDS,
+    ) -> None:
+        """Waits until `GET path` at the process's address answers 200."""
+
+        async def ready() -> bool:
+            process.check_running()
+            try:
+                reply = await webclient.fetch(process.address, "GET", path, timeout_seconds=1.0)
+            except (errors.TestSupportError, TimeoutError):
+                return False
+            return reply.status == 200
+
+        await wait_until(ready, seconds, f"{path} of {process.name}")
+
+    def write_settings(self, name: str, settings: dict[str, Any]) -> pathlib.Path:
+        """Writes a settings file and returns its path."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(tomli_w.dumps(settings), "utf-8")
+        return path
+
+    async def spawn(self, name: str, module: str, *arguments: str) -> processes.Process:
+        """Starts `python -m MODULE`; a name that ran before keeps its log, which grows."""
+        old = self.processes.get(name)
+        if old and old.returncode is None:
+            raise errors.TestSupportError(f"process {name} is still running")
+        log = self.folder / f"{name}.log"
+        log_start = log.stat().st_size if log.exists() else 0
+        with log.open("ab") as output:
+            child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *("-m", module, *arguments),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        processes.live_pids.add(child.pid)
+        if old:
+            processes.live_pids.discard(old.pid)
+        self.processes[name] = processes.Process(name, child, log, log_start)
+        return self.processes[name]
+
+
+def main() -> None:
+    """Starts fakes, prints their addresses and ends them on SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("fakes", nargs="+", help="for example 'engine --slots 4'")
+    options = parser.parse_args()
+
+    async def serve() -> None:
+        ended = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, ended.set)
+        async with Harness() as harness:
+            for line in options.fakes:
+                process = await harness.start_fake(*shlex.split(line))
+                print(f"{process.name} {process.address}", flush=True)
+            await ended.wait()
+
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/testsupport/src/coltsfoothead/testsupport/service.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/service.py
@@ -91,7 +91,12 @@
     async def _list_executions(self, request: web.Request) -> web.Response:
         counts = collections.Counter(entry["key"] for entry in self.executions if entry["key"])
         return web.json_response(
-            {"executions": counts, "total": len(self.executions), "log": self.executions}
+            {
+                "executions": counts,
+                "total": len(self.executions),
+                "execution_log": self.executions,
+                "leaving_since": self.announcer.leaving_since,
+            }
         )
 
     async def _execute(self, request: web.Request) -> web.Response:
--- a/packages/testsupport/tests/test_network.py
+++ b/packages/testsupport/tests/test_network.py
@@ -77,6 +77,19 @@
         await asyncio.sleep(0.1)
         self.assertEqual(len(self.proxy.routes["a"].connections), 1)
 
+    async def test_a_frozen_connection_hides_the_end_of_the_other_side(self):
+        """Guards against a freeze that a caller notices because the target ended."""
+        address = await self.proxy.add_route("a", self.target.address)
+        connection = await webclient.Connection.open(address)
+        await connection.send("GET", "/one")
+        await connection.read()
+        self.proxy.freeze("a")
+        await self.target.close()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await connection.send("GET", "/two")
+        connection.close()
+
     async def test_a_cut_holds_bytes_back_until_it_is_healed(self):
         """Guards against a cut that loses bytes, breaks the connection or works both ways."""
         address = await self.proxy.add_route("a", self.target.address)
