Compose the daemon: the whole path from caller to upstream and back

Cause: the parts existed, but no request could pass from one end to the other. Change: the daemon's composition, the operators' API, the directory of upstreams, routing by the kernel's policies, a test cluster, and whole-path tests with an ordinary client library. Found and mended on the way: a configuration poll whose handler failed was retried for ever without a trace (now counted); the request ID sent to a service differed from the one answered. Ruled out: one process per role (see docs/design.md, section 2).

--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -16,7 +16,7 @@
 from coltsfoothead.daemon import errors, metrics, platform, readiness
 from coltsfoothead.daemon import settings as settings_module
 from coltsfoothead.daemon.callers import frontend
-from coltsfoothead.daemon.control import configuration, leases, loghost, proposer
+from coltsfoothead.daemon.control import configuration, leases, loghost, proposer, voters
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
 from coltsfoothead.daemon.operators import api, state
@@ -179,7 +179,8 @@
             self._links,
             self._proposer,
             lambda: self._membership.members,
-            self._configuration_changed,
+            lambda _: None,
+            self._metrics,
             self._clock,
         )
         self._readiness.set_configuration(self._configuration)
@@ -203,7 +204,7 @@
             self._client,
             self._proposer,
             self._directory.directory,
-            self._membership,
+            lambda: self._membership.members,
             self._readiness,
             self._metrics,
             self._clock,
@@ -236,6 +237,7 @@
             self._readiness,
             self._metrics,
             self._capacity_lease,
+            voters.VoterChanges(self._logs, self._links, self._proposer, self._settings.daemon.id),
             self._clock,
         )
         operators = api.OperatorsApi(
--- a/packages/daemon/src/coltsfoothead/daemon/callers/delivery.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/delivery.py
@@ -70,8 +70,8 @@
                 raise AssertionError("the request has not ended")
 
     def _completion(self, completion: requests.Completion) -> bytes:
-        last = b'id: %d\ndata: %s,"choices":[{"index":0,"delta":{},"finish_reason":%s}]}\n\n' % (
-            self._offset,
+        # Without an ID, a caller that lost this event asks again from its last token.
+        last = b'data: %s,"choices":[{"index":0,"delta":{},"finish_reason":%s}]}\n\n' % (
             self._plain_head,
             _encode(completion.reason),
         )
--- a/packages/daemon/src/coltsfoothead/daemon/callers/models.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/models.py
@@ -134,6 +134,9 @@
     ) -> None:
         request = self._table.get(request_id)
         if request is not None and request.organisation == organisation and request.accepted:
+            if offset > len(request.tokens):
+                text = f"the answer has no event {offset - 1}"
+                raise refusals.refuse(refusals.Code.INVALID_OFFSET, text)
             self._metrics.count("requests_rejoined")
             await delivery.deliver(exchange, request, offset, self._times.heartbeat_seconds)
             return
--- a/packages/daemon/src/coltsfoothead/daemon/callers/services.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/services.py
@@ -144,17 +144,21 @@
         self._router.service_sent(upstream)
         self._metrics.count("service_attempts")
         try:
+            headers = (*call.request.headers, ("x-request-id", call.request_id))
             answer = await self._client.send(
-                address, call.request, call.service.timeout_seconds, fresh=not call.repeatable
+                address,
+                dataclasses.replace(call.request, headers=headers),
+                call.service.timeout_seconds,
+                fresh=not call.repeatable,
             )
             limit = self._answer_limit_bytes
             body = await answer.read(call.service.timeout_seconds, limit)
             failed = answer.status >= 500
         finally:
             self._router.service_ended(upstream, self._clock() - started, failed)
-        headers = [each for each in answer.headers if each[0] not in NOT_FORWARDED]
-        headers += [("x-request-id", call.request_id), ("x-execution", "ran")]
-        return message.Response(answer.status, tuple(headers), body)
+        kept = [each for each in answer.headers if each[0] not in NOT_FORWARDED]
+        headers = (*kept, ("x-request-id", call.request_id), ("x-execution", "ran"))
+        return message.Response(answer.status, headers, body)
 
     @staticmethod
     def _refusal(call: Call, failure: errors.HttpError | None) -> refusals.RefusedError:
@@ -189,10 +193,9 @@
     """
     name, target = parse_target(request.target)
     service = access.check_service(document, organisation, name)
-    request_id = uuid.uuid4().hex
     headers = [each for each in request.headers if each[0] not in NOT_FORWARDED]
-    headers += [("x-request-id", request_id), ("x-organisation", organisation.name)]
+    headers.append(("x-organisation", organisation.name))
     forwarded = message.Request(request.method, target, tuple(headers), request.body)
     repeatable = environment.is_repeatable(service, request.method, forwarded.path)
     key = request.header("idempotency-key")
-    return Call(request_id, organisation.name, service, forwarded, repeatable, key)
+    return Call(uuid.uuid4().hex, organisation.name, service, forwarded, repeatable, key)
--- a/packages/daemon/src/coltsfoothead/daemon/control/configuration.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/configuration.py
@@ -12,6 +12,7 @@
 from coltsfoothead.coordination.configuration import commands, documents, lease, tree
 from coltsfoothead.coordination.membership import members as members_module
 from coltsfoothead.coordination.transport import links as links_module
+from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon.control import loghost, proposer
 from coltsfoothead.kernel import environment
 
@@ -43,6 +44,7 @@
         Returns the records of the members by ID.
     changed : callable
         Called with the new document after each change.
+    metrics : Metrics
     clock : callable
     """
 
@@ -54,8 +56,10 @@
         proposals: proposer.Proposer,
         members: Callable[[], Mapping[str, members_module.Member]],
         changed: Callable[[environment.Environment], None],
+        metrics: metrics_module.Metrics,
         clock: Callable[[], float],
     ) -> None:
+        self._metrics = metrics
         self._own_id = own_id
         self._logs = logs
         self._links = links
@@ -144,7 +148,9 @@
         request = self._client.poll(now)
         try:
             payload = await self._links.call(parent, METHOD, _encode(request), POLL_TIMEOUT_SECONDS)
-        except coordination_errors.CoordinationError:
+        except coordination_errors.CoordinationError as error:
+            logging.debug("daemon %s: poll of %s failed: %s", self._own_id, parent, error)
+            self._metrics.count("configuration_polls_failed")
             self._choice.unanswered(parent, self._clock())
             return
         answer = _decode_answer(payload)
@@ -185,4 +191,4 @@
     async def _serve(self, sender: str, payload: bytes) -> bytes:
         request = _decode_request(payload)
         remaining = self._client.remaining(self._clock())
-        return _encode(lease.answer(request, remaining, self._client.documents))
+        return _encode(lease.answer(request, remaining, self._client.store))
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/control/voters.py
@@ -0,0 +1,156 @@
+"""Adds and removes voters of both logs, one at a time, at whichever daemon leads."""
+
+from typing import Literal
+
+import msgspec
+from absl import logging
+
+from coltsfoothead.coordination import errors as coordination_errors
+from coltsfoothead.coordination.replication import errors as replication_errors
+from coltsfoothead.coordination.transport import errors as link_errors
+from coltsfoothead.coordination.transport import links as links_module
+from coltsfoothead.daemon import errors
+from coltsfoothead.daemon.control import loghost, proposer
+
+__all__ = ["VoterChangeError", "VoterChanges"]
+
+METHOD = "voters"
+CHANGE_SECONDS = 20.0
+
+
+class VoterChangeError(errors.DaemonError):
+    """A change of voters failed.
+
+    Parameters
+    ----------
+    code : str
+        Code of the operators' API.
+    text : str
+    execution : str
+        ``not_run`` or ``unknown``.
+    """
+
+    def __init__(self, code: str, text: str, execution: str = "not_run") -> None:
+        super().__init__(text)
+        self.code = code
+        self.execution = execution
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A change that the leader of a log is asked to make."""
+
+    log: str
+    action: Literal["add", "remove"]
+    replica: str
+    address: str = ""
+    zone: str = ""
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What became of it; `code` is empty on success."""
+
+    code: str = ""
+    text: str = ""
+    execution: str = "not_run"
+
+
+_CODES: dict[type[Exception], tuple[str, str]] = {
+    replication_errors.ZoneSpreadError: ("zone_majority", "not_run"),
+    replication_errors.NotCaughtUpError: ("voter_not_caught_up", "not_run"),
+    replication_errors.MembershipChangeError: ("voter_change_running", "not_run"),
+    replication_errors.NotLeaderError: ("no_leader", "not_run"),
+    replication_errors.QuorumLostError: ("no_leader", "not_run"),
+    replication_errors.StoppedError: ("no_leader", "not_run"),
+}
+
+
+class VoterChanges:
+    """Changes the voters of both logs.
+
+    Parameters
+    ----------
+    logs : LogHost
+    links : Links
+    proposals : Proposer
+        Knows the leaders.
+    own_id : str
+    """
+
+    def __init__(
+        self,
+        logs: loghost.LogHost,
+        links: links_module.Links,
+        proposals: proposer.Proposer,
+        own_id: str,
+    ) -> None:
+        self._logs = logs
+        self._links = links
+        self._proposals = proposals
+        self._own_id = own_id
+        links.serve(METHOD, self._serve)
+
+    async def add(self, replica: str, address: str, zone: str) -> None:
+        """Makes a replica a voter of both logs once it has caught up.
+
+        Raises
+        ------
+        VoterChangeError
+        """
+        for log in loghost.LOGS:
+            await self._request(Change(log, "add", replica, address, zone))
+
+    async def remove(self, replica: str) -> None:
+        """Removes a replica from both logs; raises `VoterChangeError`."""
+        for log in loghost.LOGS:
+            await self._request(Change(log, "remove", replica))
+
+    async def _request(self, change: Change) -> None:
+        if self._logs.leads(change.log):
+            outcome = await self._carry_out(change)
+        else:
+            outcome = await self._ask_leader(change)
+        if outcome.code:
+            text = f"{change.log} log: {outcome.text}"
+            raise VoterChangeError(outcome.code, text, outcome.execution)
+
+    async def _ask_leader(self, change: Change) -> Outcome:
+        leader = self._proposals.leader(change.log)
+        if leader is None or leader == self._own_id:
+            return Outcome("no_leader", "no leader is known")
+        payload = msgspec.msgpack.encode(change)
+        try:
+            answer = await self._links.call(leader, METHOD, payload, CHANGE_SECONDS + 1.0)
+        except link_errors.PeerUnknownError as error:
+            return Outcome("no_leader", str(error))
+        except coordination_errors.CoordinationError as error:
+            return Outcome("outcome_unknown", str(error), "unknown")
+        return msgspec.msgpack.decode(answer, type=Outcome)
+
+    async def _serve(self, sender: str, payload: bytes) -> bytes:
+        change = msgspec.msgpack.decode(payload, type=Change)
+        return msgspec.msgpack.encode(await self._carry_out(change))
+
+    async def _carry_out(self, change: Change) -> Outcome:
+        task = self._logs.tasks.get(change.log)
+        if task is None or not self._logs.leads(change.log):
+            return Outcome("no_leader", "this daemon does not lead the log")
+        status = task.status()
+        known = change.replica in task.members
+        if change.action == "remove" and not known:
+            return Outcome("voter_not_found", f"{change.replica!r} is not a member of the log")
+        if change.action == "add" and change.replica in status.voters:
+            return Outcome()
+        try:
+            if change.action == "remove":
+                await task.remove(change.replica, CHANGE_SECONDS)
+            else:
+                if not known:
+                    await task.add_learner(
+                        change.replica, change.address, change.zone, CHANGE_SECONDS
+                    )
+                await task.promote(change.replica, CHANGE_SECONDS)
+        except replication_errors.ReplicationError as error:
+            code, execution = _CODES.get(type(error), ("outcome_unknown", "unknown"))
+            return Outcome(code, str(error), execution)
+        logging.info("%s log: voter %s: %s done", change.log, change.replica, change.action)
+        return Outcome()
--- a/packages/daemon/src/coltsfoothead/daemon/serving/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/admission.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from coltsfoothead.daemon.callers import chat, refusals
-from coltsfoothead.kernel import environment
+from coltsfoothead.kernel import environment, operations
 
 __all__ = ["Admission"]
 
@@ -46,6 +46,10 @@
     def service_ended(self, organisation: str, seconds: float, answered: bool) -> None:
         """Takes the outcome of a service call."""
 
+    def service_levels(self, document: environment.Environment | None) -> operations.SloAnswer:
+        """Returns the service level of each organisation."""
+        return operations.SloAnswer()
+
     def _finish(self, name: str) -> None:
         self._running[name] -= 1
         if not self._running[name]:
--- /dev/null
+++ b/packages/daemon/tests/test_http_server.py
@@ -0,0 +1,122 @@
+"""Tests of the HTTP server against callers that misbehave."""
+
+import asyncio
+import unittest
+
+import builders
+import msgspec
+
+from coltsfoothead.daemon.callers import frontend
+from coltsfoothead.daemon.http import client, errors, message, server
+
+WHOLE = b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi"
+
+
+async def echo(exchange):
+    """Answers with the body that it got."""
+    await exchange.respond(message.Response(200, (), exchange.request.body))
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, **bounds):
+        self.server = server.Server(echo, frontend.encode_error, builders.bounds(**bounds))
+        self.address = await self.server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.stop, 0.0)
+
+    async def converse(self, data, half_close=False):
+        """Sends raw bytes and returns all that comes back."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        if half_close:
+            writer.write_eof()
+        received = await asyncio.wait_for(reader.read(), 10)
+        writer.close()
+        return received
+
+    def check_refusal(self, received, status, code):
+        head, _, body = received.partition(b"\r\n\r\n")
+        self.assertIn(f" {status} ".encode(), head.splitlines()[0])
+        self.assertIn(b"x-execution: not_run", head.lower())
+        self.assertEqual(msgspec.json.decode(body)["error"]["code"], code)
+
+    async def check_still_serving(self):
+        received = await self.converse(WHOLE, half_close=True)
+        self.assertTrue(received.endswith(b"hi"), received)
+
+    async def test_a_body_above_the_limit_is_refused(self):
+        """Guards against unbounded memory; both the stated and the counted length count."""
+        await self.start()
+        stated = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n" + b"x" * 2000
+        self.check_refusal(await self.converse(stated), 413, "body_too_large")
+        chunked = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        received = await self.converse(chunked + b"800\r\n" + b"x" * 2048 + b"\r\n")
+        self.check_refusal(received, 413, "body_too_large")
+        await self.check_still_serving()
+
+    async def test_a_broken_chunk_is_refused(self):
+        """Guards against a parser error that ends the daemon or goes unanswered."""
+        await self.start()
+        broken = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nhi"
+        self.check_refusal(await self.converse(broken), 400, "malformed_request")
+        await self.check_still_serving()
+
+    async def test_a_slow_sender_is_refused_in_bounded_time(self):
+        """Guards against connections held by senders that never finish."""
+        await self.start(receive_seconds=0.2)
+        self.check_refusal(await self.converse(WHOLE[:-1]), 408, "request_timeout")
+        await self.check_still_serving()
+
+    async def test_a_half_closed_socket_gets_its_answer(self):
+        """Guards against dropping a whole request, and against waiting for a cut one."""
+        await self.start()
+        await self.check_still_serving()
+        received = await self.converse(WHOLE[:-1], half_close=True)
+        self.check_refusal(received, 400, "malformed_request")
+
+    async def test_too_large_headers_are_refused(self):
+        """Guards against unbounded header blocks."""
+        await self.start()
+        data = b"GET / HTTP/1.1\r\nhost: a\r\nx-long: " + b"x" * 20_000
+        self.check_refusal(await self.converse(data), 400, "malformed_request")
+        await self.check_still_serving()
+
+    async def test_two_requests_on_one_connection_are_answered_in_order(self):
+        """Guards against mixed answers on a kept connection."""
+        await self.start()
+        second = WHOLE.replace(b"hi", b"ho")
+        received = await self.converse(WHOLE + second, half_close=True)
+        self.assertLess(received.index(b"hi"), received.index(b"ho"))
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_refused_connection_is_told_from_a_broken_one(self):
+        """Guards against calling a request not run although bytes left, or the reverse."""
+
+        async def close_at_once(reader, writer):
+            await reader.read(10)
+            writer.transport.abort()
+
+        listener = await asyncio.start_server(close_at_once, "127.0.0.1", 0)
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        caller = client.Client(1.0)
+        request = message.Request("POST", "/", (), b"body")
+        with self.assertRaises(errors.UpstreamBrokeError):
+            await caller.send(address, request, 5.0)
+        listener.close()
+        await listener.wait_closed()
+        with self.assertRaises(errors.ConnectError):
+            await caller.send(address, request, 5.0)
+
+    async def test_a_silent_server_is_given_up(self):
+        """Guards against waiting for ever on a connection that went silent."""
+
+        async def stay_silent(reader, writer):
+            await reader.read()
+
+        listener = await asyncio.start_server(stay_silent, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        caller = client.Client(1.0)
+        with self.assertRaises(errors.SilentUpstreamError):
+            await caller.send(address, message.Request("GET", "/", (), b""), 0.2)
--- /dev/null
+++ b/packages/daemon/tests/test_whole_path.py
@@ -0,0 +1,110 @@
+"""Tests of whole requests through daemons and fakes as separate processes."""
+
+import contextlib
+import unittest
+
+import openai
+
+from coltsfoothead.testsupport import answers, caller, cluster, harness, webclient
+
+
+def expected(prompt):
+    """Returns the text that the fake engine answers to a prompt."""
+    messages = [{"role": "user", "content": prompt}]
+    return "".join(answers.answer(answers.render(messages)))
+
+
+@contextlib.asynccontextmanager
+async def installation(count):
+    """Starts daemons, two engines and a service with a document in force."""
+    places = [
+        cluster.DaemonPlace(f"d{number}", zone)
+        for number, zone in enumerate(cluster.ZONES[:count], 1)
+    ]
+    async with harness.Harness() as children:
+        started = cluster.Cluster(children, places)
+        await started.start_daemons()
+        await started.start_engine("e1", "home-a")
+        await started.start_engine("e2", "home-b")
+        await started.start_service("s1", "home-a")
+        answer = await started.apply("d1", cluster.document(), "change-1")
+        assert answer["outcome"] == "accepted", answer
+        await started.wait_ready()
+        await started.wait_upstreams(3)
+        yield started
+
+
+class SingleNodeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_requests_and_refusals(self):
+        """Guards the whole path of one daemon without peers, with an ordinary client library."""
+        async with installation(1) as started:
+            address = started.callers[0]
+            await self.check_client_library(address)
+            await self.check_refusals(address)
+            await self.check_reconnect(address)
+            process = started.children.processes["d1"]
+            process.terminate()
+            self.assertEqual(await process.wait(), 0, process.output())
+
+    async def check_client_library(self, address):
+        client = openai.AsyncOpenAI(
+            base_url=f"http://{address}/v1", api_key=cluster.api_key("kiosk"), max_retries=0
+        )
+        async with client:
+            messages = [{"role": "user", "content": "tag the lamp len=9"}]
+            whole = await client.chat.completions.create(model="small", messages=messages)
+            self.assertEqual(whole.choices[0].message.content, expected("tag the lamp len=9"))
+            self.assertEqual(whole.usage.completion_tokens, 9)
+            stream = await client.chat.completions.create(
+                model="small", messages=messages, stream=True
+            )
+            text = [part.choices[0].delta.content or "" async for part in stream if part.choices]
+            self.assertEqual("".join(text), expected("tag the lamp len=9"))
+            models = await client.models.list()
+            self.assertEqual([model.id for model in models.data], ["small"])
+
+    async def check_refusals(self, address):
+        front = caller.Caller([address], cluster.api_key("kiosk"))
+        stranger = caller.Caller([address], "no-such-key")
+        refused = [
+            (await stranger.chat("x"), 401, "invalid_api_key"),
+            (await front.chat("x", model="absent"), 404, "model_not_found"),
+            (await front.chat("x", max_tokens=0), 400, "invalid_body"),
+            (await front.call("absent", "/x"), 404, "service_not_found"),
+            (await front.call("parts", "/x", key="k" * 300), 400, "idempotency_key_invalid"),
+        ]
+        for record, status, code in refused:
+            self.assertEqual(record.status, status)
+            self.assertEqual(record.error()["code"], code)
+            self.assertEqual(record.error()["execution"], "not_run")
+
+    async def check_reconnect(self, address):
+        front = caller.Caller([address], cluster.api_key("kiosk"))
+        record = await front.chat("count len=12")
+        head = {"authorization": f"Bearer {cluster.api_key('kiosk')}"}
+        path = f"/v1/requests/{record.request_id}"
+        rest = await webclient.fetch(address, "GET", path, headers=head | {"last-event-id": "8"})
+        identifiers = [line for line in rest.body.splitlines() if line.startswith(b"id:")]
+        self.assertEqual(identifiers, [b"id: 9", b"id: 10", b"id: 11"])
+        other = {"authorization": f"Bearer {cluster.api_key('garage')}"}
+        hidden = await webclient.fetch(address, "GET", path, headers=other)
+        self.assertEqual(hidden.status, 404)
+        beyond = await webclient.fetch(address, "GET", path, headers=head | {"last-event-id": "99"})
+        self.assertEqual(beyond.status, 400)
+
+
+class ThreeDaemonsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_keys_and_answers_are_shared(self):
+        """Guards against a second execution, or another answer, through another daemon."""
+        async with installation(3) as started:
+            front = caller.Caller(started.callers, cluster.api_key("kiosk"))
+            calls = [await front.call("parts", "/holds", body={"a": 1}, key="k") for _ in "123"]
+            self.assertEqual({call.status for call in calls}, {200})
+            self.assertEqual(len({call.parts[0].body for call in calls}), 1)
+            other = await front.call("parts", "/holds", body={"a": 2}, key="k")
+            self.assertEqual(other.error()["code"], "idempotency_key_reused")
+            chats = [
+                await front.chat("again len=7", headers={"idempotency-key": "c"}) for _ in "123"
+            ]
+            self.assertEqual({chat.text() for chat in chats}, {expected("again len=7")})
+            self.assertEqual(len({chat.request_id for chat in chats}), 1)
--- /dev/null
+++ b/packages/testsupport/src/coltsfoothead/testsupport/cluster.py
@@ -0,0 +1,231 @@
+"""Starts a small installation: daemons in zones, fakes, a balancer, an environment document."""
+
+import asyncio
+import dataclasses
+import hashlib
+import pathlib
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+from coltsfoothead.testsupport import harness, processes, webclient
+
+__all__ = ["Cluster", "DaemonPlace", "ZONES", "api_key", "document"]
+
+TOKEN = "operators-token-of-a-test-cluster"
+START_SECONDS = 30.0
+LISTENERS = ("callers", "upstreams", "operators", "peers")
+ZONES = ("home-a", "home-b", "away-a")
+CLI_MODULE = "coltsfoothead.cli.main"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DaemonPlace:
+    """One daemon: its ID, zone and whether it has a disk."""
+
+    id: str
+    zone: str
+    voter: bool = True
+
+    @property
+    def region(self) -> str:
+        """The region, which the zone's name begins with."""
+        return self.zone.partition("-")[0]
+
+
+def api_key(organisation: str) -> str:
+    """Returns the API key of an organisation of a test document."""
+    return f"key-of-{organisation}"
+
+
+def document(
+    organisations: Sequence[str] = ("kiosk", "garage"),
+    *,
+    environment: str = "trial",
+    models: Sequence[str] = ("small",),
+    services: Sequence[str] = ("parts",),
+    comment: str = "",
+    extra: str = "",
+) -> str:
+    """Returns an environment document in which every organisation may use everything."""
+    lines = [f"# {comment}", f'environment = "{environment}"', extra]
+    lines += [f'[[models]]\nname = "{name}"\n' for name in models]
+    lines += [f'[[services]]\nname = "{name}"\n' for name in services]
+    for name in organisations:
+        digest = hashlib.sha256(api_key(name).encode()).hexdigest()
+        lines.append(
+            f'[[organisations]]\nname = "{name}"\nkey_sha256 = ["{digest}"]\n'
+            f"models = {list(models)!r}\nservices = {list(services)!r}\n"
+        )
+    return "\n".join(lines)
+
+
+class Cluster:
+    """Daemons and fakes as child processes of a harness.
+
+    Parameters
+    ----------
+    children : Harness
+    places : sequence of DaemonPlace
+    """
+
+    def __init__(self, children: harness.Harness, places: Sequence[DaemonPlace] = ()) -> None:
+        self.children = children
+        self.places = {
+            place.id: place
+            for place in places
+            or [DaemonPlace(f"d{number}", zone) for number, zone in enumerate(ZONES, 1)]
+        }
+        self.addresses: dict[str, dict[str, str]] = {}
+        self.peer_addresses: dict[str, str] = {}
+        ports = harness.free_ports(len(self.places) * len(LISTENERS))
+        for position, name in enumerate(self.places):
+            own = ports[position * len(LISTENERS) :]
+            host = f"127.0.0.{position + 1}"
+            self.addresses[name] = {
+                listener: f"{host}:{port}" for listener, port in zip(LISTENERS, own, strict=False)
+            }
+            self.peer_addresses[name] = self.addresses[name]["peers"]
+        self.token_file = children.folder / "token"
+        self.token_file.write_text(TOKEN)
+
+    @property
+    def callers(self) -> list[str]:
+        """Callers' addresses of all daemons."""
+        return [each["callers"] for each in self.addresses.values()]
+
+    @property
+    def announce_arguments(self) -> list[str]:
+        """Arguments that make a fake upstream announce itself to every daemon in turn."""
+        urls = [f"http://{each['upstreams']}" for each in self.addresses.values()]
+        return [part for url in urls for part in ("--announce", url)]
+
+    def settings(self, name: str, **tables: Any) -> dict[str, Any]:
+        """Returns the settings of one daemon; `tables` are merged into it."""
+        place = self.places[name]
+        founders = [
+            {"id": each.id, "address": self.peer_addresses[each.id], "zone": each.zone}
+            for each in self.places.values()
+            if each.voter
+        ]
+        daemon = {
+            "id": name,
+            "cluster": "test",
+            "region": place.region,
+            "zone": place.zone,
+            "vm": f"vm-{name}",
+        }
+        if place.voter:
+            daemon["data_folder"] = str(self.data_folder(name))
+        cluster: dict[str, Any] = {"founders": founders}
+        if len(self.places) > 1:
+            cluster["advertise"] = self.peer_addresses[name]
+        if len(founders) == 1 and len(self.places) == 1:
+            cluster = {}
+        settings = {
+            "daemon": daemon,
+            "listen": self.addresses[name],
+            "operators": {"token_file": str(self.token_file)},
+            "cluster": cluster,
+        }
+        for table, values in tables.items():
+            settings[table] = settings.get(table, {}) | values
+        return settings
+
+    def data_folder(self, name: str) -> pathlib.Path:
+        """Returns the data folder of a daemon."""
+        return self.children.folder / f"data-{name}"
+
+    async def start_daemons(self, names: Sequence[str] = (), **tables: Any) -> None:
+        """Starts daemons and waits until each answers."""
+        started = [
+            await self.children.start_daemon(
+                name,
+                self.settings(name, **tables),
+                self.addresses[name]["callers"],
+                wait=False,
+            )
+            for name in names or self.places
+        ]
+        for process in started:
+            await self.children.wait_ready(process, "/healthz", START_SECONDS)
+
+    async def wait_ready(self, names: Sequence[str] = ()) -> None:
+        """Waits until daemons are ready for work."""
+        for name in names or self.places:
+            process = self.children.processes[name]
+            await self.children.wait_ready(process, "/readyz", START_SECONDS)
+
+    async def wait_upstreams(self, count: int, names: Sequence[str] = ()) -> None:
+        """Waits until each daemon knows that many upstreams."""
+        for name in names or self.places:
+
+            async def known(name: str = name) -> bool:
+                status = await self.operators(name, "GET", "/status")
+                return status["upstreams"] >= count
+
+            await harness.wait_until(known, START_SECONDS, f"{count} upstreams at {name}")
+
+    async def operators(
+        self, name: str, method: str, path: str, body: Any = None, seconds: float = 15.0
+    ) -> Any:
+        """Sends a request to a daemon's operators' API and returns the decoded answer."""
+        reply = await webclient.fetch(
+            self.addresses[name]["operators"],
+            method,
+            path,
+            json=body,
+            headers={"authorization": f"Bearer {TOKEN}"},
+            timeout_seconds=seconds,
+        )
+        return reply.json()
+
+    async def apply(self, name: str, text: str, change_id: str, wait: bool = True) -> Any:
+        """Applies a document on top of the one in force."""
+        current = await self.operators(name, "GET", "/config")
+        return await self.operators(
+            name, "POST", "/config/apply", self.change(current, text, change_id, wait)
+        )
+
+    @staticmethod
+    def change(
+        current: dict[str, Any], text: str, change_id: str, wait: bool = True
+    ) -> dict[str, Any]:
+        """Returns the body of a change on top of `current`."""
+        return {
+            "change_id": change_id,
+            "author": "tester",
+            "expected_version": current["version"],
+            "expected_digest": current["digest"],
+            "document": text,
+            "wait": wait,
+        }
+
+    async def cli(self, *arguments: str) -> tuple[int, str]:
+        """Runs the operators' command line; returns its exit code and output."""
+        addresses = ",".join(each["operators"] for each in self.addresses.values())
+        child = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", CLI_MODULE),
+            *("--address", addresses, "--token-file", str(self.token_file), *arguments),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await child.communicate()
+        assert child.returncode is not None
+        return child.returncode, output.decode()
+
+    async def start_engine(self, name: str, zone: str, *arguments: str) -> processes.Process:
+        """Starts a fake engine that announces itself."""
+        return await self._start_upstream("engine", name, zone, *arguments)
+
+    async def start_service(self, name: str, zone: str, *arguments: str) -> processes.Process:
+        """Starts a fake service that announces itself."""
+        return await self._start_upstream("service", name, zone, *arguments)
+
+    async def _start_upstream(
+        self, module: str, name: str, zone: str, *arguments: str
+    ) -> processes.Process:
+        place = ("--upstream", name, "--zone", zone, "--region", zone.partition("-")[0])
+        return await self.children.start_fake(
+            module, *place, "--vm", f"vm-{name}", *self.announce_arguments, *arguments, name=name
+        )
--- /dev/null
+++ b/packages/testsupport/src/coltsfoothead/testsupport/demo.py
@@ -0,0 +1,124 @@
+"""Demonstration: three daemons and fakes serve requests, one daemon is killed mid-stream."""
+
+import asyncio
+import sys
+import time
+
+from coltsfoothead.testsupport import answers, balancer, caller, cluster, harness, records
+
+__all__ = ["main"]
+
+PROMPT = "Report on the returned chaise longue, len=120"
+KILL_AFTER_TOKENS = 20
+RESUME_SECONDS = 30.0
+
+
+def say(text: str) -> None:
+    """Prints one line at once."""
+    print(text, flush=True)
+
+
+async def start(children: harness.Harness) -> cluster.Cluster:
+    """Starts daemons and fakes and brings an environment document into force."""
+    installation = cluster.Cluster(children)
+    await installation.start_daemons()
+    for number, zone in enumerate(cluster.ZONES, 1):
+        await installation.start_engine(f"engine-{number}", zone, "--gap-seconds", "0.02")
+    await installation.start_service("parts-1", "home-a")
+    path = children.folder / "trial.toml"
+    path.write_text(cluster.document(comment="written by the demo"), "utf-8")
+    for arguments in (("check", str(path)), ("apply", str(path), "--author", "demo")):
+        code, output = await installation.cli(*arguments)
+        say(output.strip())
+        if code:
+            raise SystemExit(f"'coltsfoothead {arguments[0]}' ended with {code}")
+    await installation.wait_ready()
+    await installation.wait_upstreams(4)
+    return installation
+
+
+async def serve(front: caller.Caller) -> None:
+    """Sends one streamed, one whole and one service request."""
+    streamed = await front.chat("A tag for the brass lamp, len=8")
+    say(f"streamed answer ({streamed.status}): {streamed.text()}")
+    whole = await front.chat("A tag for the velvet throne, len=8", stream=False)
+    say(f"whole answer ({whole.status}): {whole.text()}")
+    for turn in ("first", "repeated"):
+        hold = await front.call("parts", "/holds", body={"item": "throne"}, key="hold-1")
+        replay = hold.parts[-1].headers.get("x-idempotent-replay", "false")
+        say(f"hold, {turn} call: status {hold.status}, replayed {replay}")
+
+
+async def kill_mid_stream(
+    installation: cluster.Cluster, front: caller.Caller
+) -> tuple[records.Record, str]:
+    """Kills the daemon that serves a stream; the caller comes back to the others."""
+    task = asyncio.create_task(front.chat(PROMPT))
+    record = await first_tokens(front)
+    owner = await owner_of(installation, record.request_id)
+    say(f"request {record.request_id}: {len(record.tokens())} tokens so far, killing {owner}")
+    installation.children.processes[owner].kill()
+    await task
+    say(f"the connection broke after {len(record.tokens())} tokens; coming back")
+    await front.finish(record, RESUME_SECONDS)
+    return record, owner
+
+
+async def first_tokens(front: caller.Caller) -> records.Record:
+    """Waits until the newest request has some tokens."""
+    await harness.wait_until(
+        lambda: front.records[-1].kind == "chat"
+        and len(front.records[-1].tokens()) >= KILL_AFTER_TOKENS,
+        RESUME_SECONDS,
+        "first tokens",
+    )
+    return front.records[-1]
+
+
+async def owner_of(installation: cluster.Cluster, request_id: str) -> str:
+    """Returns the daemon that holds a running request."""
+    for name in installation.places:
+        answer = await installation.operators(name, "GET", f"/requests?id={request_id}")
+        if answer["requests"]:
+            return answer["requests"][0]["owner"]
+    raise SystemExit(f"no daemon holds request {request_id}")
+
+
+async def run() -> int:
+    """Runs the demonstration and returns the exit code."""
+    started = time.monotonic()
+    async with harness.Harness() as children:
+        say("starting three daemons, three engines and a service")
+        installation = await start(children)
+        entry = balancer.Balancer(installation.callers)
+        async with entry:
+            front = caller.Caller([entry.traffic_address], cluster.api_key("kiosk"))
+            await serve(front)
+            record, killed = await kill_mid_stream(installation, front)
+        # The fake engine's answer is a pure function of the prompt, so it can be checked.
+        messages = [{"role": "user", "content": PROMPT}]
+        whole = record.done and record.text() == "".join(answers.answer(answers.render(messages)))
+        say(f"answer whole: {whole}, {len(record.tokens())} tokens")
+        code, output = await installation.cli("status")
+        say(output)
+        codes = await stop(installation, killed)
+    say(f"exit codes of the daemons that were stopped: {codes}")
+    say(f"finished in {time.monotonic() - started:.1f} s")
+    return 0 if whole and not code and not any(codes.values()) else 1
+
+
+async def stop(installation: cluster.Cluster, killed: str) -> dict[str, int]:
+    """Stops the remaining daemons gracefully and returns their exit codes."""
+    names = [name for name in installation.places if name != killed]
+    for name in names:
+        installation.children.processes[name].terminate()
+    return {name: await installation.children.processes[name].wait() for name in names}
+
+
+def main() -> None:
+    """Entry point."""
+    sys.exit(asyncio.run(run()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/measure_relay.py
@@ -0,0 +1,109 @@
+"""Measures the cost of relaying through one daemon against asking the fake engine directly.
+
+Prints processor time per token and per request of the daemon's process, and the time that the
+same load takes with and without the daemon. Load, engine and daemon are separate processes.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import time
+
+from coltsfoothead.testsupport import caller, cluster, harness
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+def processor_seconds(pid):
+    """Returns user and system time of a process, in seconds."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def resident_megabytes(pid):
+    """Returns the resident memory of a process, in MB."""
+    pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+async def streams(address, count, tokens):
+    """Runs streams side by side; returns the seconds taken."""
+    front = caller.Caller([address], cluster.api_key("kiosk"), timeout_seconds=120)
+    started = time.monotonic()
+    records = await asyncio.gather(
+        *(front.chat(f"stream {number} len={tokens}") for number in range(count))
+    )
+    assert all(record.done for record in records)
+    return time.monotonic() - started
+
+
+async def service_calls(address, path, count, parallel):
+    """Sends service calls, a few at a time; returns the seconds taken."""
+    front = caller.Caller([address], cluster.api_key("kiosk"), timeout_seconds=60)
+    limit = asyncio.Semaphore(parallel)
+
+    async def call():
+        async with limit:
+            if path:
+                record = await front.call("parts", "/stock", method="GET")
+            else:
+                record = await front.call("", "stock", method="GET")
+            assert record.status == 200, record.error()
+
+    started = time.monotonic()
+    await asyncio.gather(*(call() for _ in range(count)))
+    return time.monotonic() - started
+
+
+async def measure(options):
+    """Runs the measurement and returns its figures."""
+    async with harness.Harness() as children:
+        place = cluster.DaemonPlace("d1", "home-a")
+        installation = cluster.Cluster(children, [place])
+        await installation.start_daemons()
+        engine = await installation.start_engine(
+            "e1", "home-a", "--gap-seconds", "0.002", "--slots", str(options.streams)
+        )
+        service = await installation.start_service("s1", "home-a")
+        await installation.apply("d1", cluster.document(), "c1")
+        await installation.wait_ready()
+        await installation.wait_upstreams(2)
+        entry = installation.addresses["d1"]["callers"]
+        daemon = children.processes["d1"]
+        await streams(entry, 4, 20)
+        tokens = options.streams * options.tokens
+        before = processor_seconds(daemon.pid)
+        through = await streams(entry, options.streams, options.tokens)
+        per_token = (processor_seconds(daemon.pid) - before) / tokens
+        direct = await streams(engine.address, options.streams, options.tokens)
+        before = processor_seconds(daemon.pid)
+        calls = await service_calls(entry, True, options.calls, 8)
+        per_call = (processor_seconds(daemon.pid) - before) / options.calls
+        calls_direct = await service_calls(service.address, False, options.calls, 8)
+        return {
+            "streams": options.streams,
+            "tokens": tokens,
+            "daemon_us_per_token": round(per_token * 1e6, 1),
+            "seconds_through": round(through, 2),
+            "seconds_direct": round(direct, 2),
+            "daemon_us_per_service_call": round(per_call * 1e6),
+            "service_calls_per_core_second": round(1 / per_call),
+            "service_seconds_through": round(calls, 2),
+            "service_seconds_direct": round(calls_direct, 2),
+            "resident_mb": round(resident_megabytes(daemon.pid), 1),
+        }
+
+
+def main():
+    """Parses the arguments, measures and prints JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", type=int, default=32)
+    parser.add_argument("--tokens", type=int, default=500)
+    parser.add_argument("--calls", type=int, default=2000)
+    print(json.dumps(asyncio.run(measure(parser.parse_args())), indent=2))
+
+
+if __name__ == "__main__":
+    main()
