Add the Raft replica as a pure state machine

Cause: configuration, leases and the ledger need one replicated log that stays safe with lost, duplicated and reordered messages, crashes, rolled-back folders and voter replacement.

Change: replication.raft.Replica with step, tick, propose, barrier, add_learner, promote, remove, transfer and compact; each returns Effects that the caller carries out in order (sync, send, apply). A membership entry is in force from its append, as in the published one-at-a-time protocol, and a leader changes members only after it has committed an entry of its own term. A change that gives a zone a majority of voters that it did not have is refused. Messages carry incarnation, boot number and last synced index. A message that is behind what was seen is dropped and answered with what was seen; only the named replica can tell a late message from a rolled-back folder, and stops in the second case.

Ruled out: membership in force only from its commit (two configurations that differ by two changes could elect two leaders in one term); stopping a replica on the sight of an old message (a delayed message of an earlier start is legal); acknowledged index = last index confirmed (a follower may have to drop uncommitted entries, so only committed ones count).

--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/following.py
@@ -0,0 +1,121 @@
+"""Follower: entries and snapshots from the leader."""
+
+import zlib
+
+from coltsfoothead.coordination.replication import effects, errors, messages
+from coltsfoothead.coordination.replication import state as state_module
+from coltsfoothead.coordination.replication.state import Role, State
+from coltsfoothead.coordination.storage import schema
+
+__all__ = ["on_append_request", "on_snapshot_request"]
+
+
+def _accept_leader(state: State, sender: str, now: float) -> None:
+    if state.role is Role.LEADER:
+        raise errors.LogSafetyError(f"{sender!r} leads term {state.term} too")
+    state_module.become_follower(state, state.term, sender, now)
+    state.leader_contact = now
+    state.reset_election_deadline(now)
+
+
+def on_append_request(
+    state: State, sender: str, message: messages.AppendRequest, now: float
+) -> None:
+    """Appends the leader's entries or tells it where the logs part."""
+    if message.term < state.term:
+        # The response carries the higher term and makes an old leader step down.
+        state_module.send(state, sender, messages.AppendResponse(state.term, False, 0, 0))
+        return
+    _accept_leader(state, sender, now)
+    previous_term = state.log.term_at(message.previous_index)
+    below_base = message.previous_index < state.log.base[0]
+    if not below_base and previous_term != message.previous_term:
+        state_module.send(state, sender, _conflict(state, message, previous_term))
+        return
+    _store(state, message.entries)
+    match = message.previous_index + len(message.entries)
+    state.commit = max(state.commit, min(message.commit, match))
+    # A leader has synced every entry that it calls committed.
+    state.peers.acknowledge(sender, message.commit)
+    response = messages.AppendResponse(state.term, True, match, message.round)
+    state_module.send(state, sender, response)
+
+
+def _conflict(
+    state: State, message: messages.AppendRequest, term: int | None
+) -> messages.AppendResponse:
+    if term is None:
+        hint = state.log.last_index + 1
+        return messages.AppendResponse(state.term, False, 0, message.round, hint, 0)
+    first = state.log.first_of_term(message.previous_index)
+    return messages.AppendResponse(state.term, False, 0, message.round, first, term)
+
+
+def _store(state: State, entries: tuple[schema.Entry, ...]) -> None:
+    for position, entry in enumerate(entries):
+        if entry.index <= state.log.base[0]:
+            continue
+        known = state.log.term_at(entry.index)
+        if known == entry.term:
+            continue
+        if known is not None:
+            if entry.index <= state.commit:
+                raise errors.LogSafetyError(f"committed entry {entry.index} would be replaced")
+            state.truncate(entry.index)
+        state.append(entries[position:])
+        return
+
+
+def on_snapshot_request(
+    state: State, sender: str, message: messages.SnapshotRequest, now: float
+) -> None:
+    """Collects the chunks of a snapshot and installs it once it is complete."""
+    if message.term < state.term:
+        state_module.send(state, sender, messages.AppendResponse(state.term, False, 0, 0))
+        return
+    _accept_leader(state, sender, now)
+    if message.index > state.commit:
+        if not _collect(state, sender, message):
+            return
+        _install(state, message)
+    # Committed entries are equal on all replicas, so the snapshot's index matches the leader.
+    response = messages.AppendResponse(state.term, True, message.index, message.round)
+    state_module.send(state, sender, response)
+
+
+def _collect(state: State, sender: str, message: messages.SnapshotRequest) -> bool:
+    """Adds a chunk; answers with the bytes held and returns False while some are missing."""
+    key = (sender, message.index, message.total, message.checksum)
+    if state.chunks_of != key:
+        state.chunks_of = key
+        state.chunks = bytearray()
+    if message.offset == len(state.chunks):
+        state.chunks += message.data
+    complete = len(state.chunks) == message.total
+    if complete and zlib.crc32(state.chunks) == message.checksum:
+        return True
+    if complete:
+        state.chunks = bytearray()
+    received = len(state.chunks)
+    response = messages.SnapshotResponse(state.term, message.index, received, message.round)
+    state_module.send(state, sender, response)
+    return False
+
+
+def _install(state: State, message: messages.SnapshotRequest) -> None:
+    snapshot = schema.Snapshot(
+        message.index, message.index_term, message.members, bytes(state.chunks)
+    )
+    state.chunks_of, state.chunks = None, bytearray()
+    if state.log.term_at(snapshot.index) == snapshot.term:
+        state.log.compact(snapshot.index)
+        later = [item for item in state.configurations if item[0] > snapshot.index]
+    else:
+        state.log.reset(snapshot.index, snapshot.term)
+        later = []
+    state.configurations = [(snapshot.index, dict(snapshot.members)), *later]
+    state.snapshot = snapshot
+    state.commit = state.emitted = snapshot.index
+    entries = state.log.between(snapshot.index + 1, state.log.last_index)
+    state.install = effects.Install(snapshot, state.log.base, entries)
+    state.unsynced_from = None
--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/leading.py
@@ -0,0 +1,280 @@
+"""Leader: replication, commit, heartbeat rounds, barriers and leadership transfer."""
+
+import zlib
+from collections.abc import Iterable
+
+from coltsfoothead.coordination.replication import errors, logview, messages
+from coltsfoothead.coordination.replication import state as state_module
+from coltsfoothead.coordination.replication.state import Progress, Role, State
+from coltsfoothead.coordination.storage import schema
+
+__all__ = [
+    "become_leader",
+    "broadcast",
+    "follow_members",
+    "on_append_response",
+    "on_snapshot_response",
+    "propose",
+    "start_barrier",
+    "start_round",
+    "start_transfer",
+    "tick",
+]
+
+
+def become_leader(state: State, now: float) -> None:
+    """Takes the lead of the current term and appends an empty entry to commit earlier ones."""
+    state.role = Role.LEADER
+    state.leader = state.identity.replica
+    state.leader_since = now
+    state.quorum_contact = None
+    state.round_starts = {}
+    state.acknowledged_round = state.round
+    state.transfer_target = None
+    state.progress = {}
+    follow_members(state)
+    state.term_start = state.log.last_index + 1
+    state.append((schema.Entry(state.term_start, state.term, logview.NOOP, b""),))
+    start_round(state, now)
+    advance_commit(state)
+
+
+def follow_members(state: State) -> None:
+    """Starts and ends replication according to the members in force."""
+    for peer in state.members.keys() - state.progress.keys() - {state.identity.replica}:
+        state.progress[peer] = Progress(state.log.last_index + 1)
+    for peer in state.progress.keys() - state.members.keys():
+        del state.progress[peer]
+
+
+def propose(state: State, items: Iterable[tuple[int, bytes]]) -> range:
+    """Appends entries of the current term; returns their indexes."""
+    first = state.log.last_index + 1
+    entries = tuple(
+        schema.Entry(first + i, state.term, kind, data) for i, (kind, data) in enumerate(items)
+    )
+    state.append(entries)
+    if any(entry.kind == logview.MEMBERSHIP for entry in entries):
+        follow_members(state)
+    broadcast(state)
+    advance_commit(state)
+    return range(first, first + len(entries))
+
+
+def broadcast(state: State, heartbeat: bool = False) -> None:
+    """Sends each peer what it lacks; with `heartbeat`, at least an empty message."""
+    for peer in sorted(state.progress):
+        _replicate(state, peer, heartbeat)
+
+
+def start_round(state: State, now: float) -> None:
+    """Starts a heartbeat round."""
+    state.round += 1
+    state.round_starts[state.round] = now
+    state.heartbeat_due = now + state.settings.heartbeat_seconds
+    broadcast(state, heartbeat=True)
+    _update_quorum_contact(state)
+
+
+def start_barrier(state: State, now: float) -> int:
+    """Starts a linearizable read barrier; returns its ID."""
+    read = state.next_read
+    state.next_read += 1
+    # Before the first commit of its own term a leader may not know the latest commit index.
+    index = max(state.commit, state.term_start)
+    state.reads.append((read, state.round + 1, index))
+    start_round(state, now)
+    return read
+
+
+def start_transfer(state: State, target: str | None, now: float) -> str:
+    """Starts handing leadership to a voter, by default the most advanced one."""
+    others = sorted(state.voters - {state.identity.replica})
+    if target is None and others:
+        target = max(others, key=lambda peer: state.progress[peer].match)
+    if target not in others:
+        raise errors.MembershipChangeError(f"{target!r} is not another voter")
+    state.transfer_target = target
+    state.transfer_deadline = now + state.settings.election_timeout_max_seconds
+    _continue_transfer(state, target)
+    return target
+
+
+def tick(state: State, now: float) -> None:
+    """Sends heartbeats, and steps down if no majority has answered for too long."""
+    settings = state.settings
+    if now >= state.heartbeat_due:
+        start_round(state, now)
+    if state.transfer_target and now >= state.transfer_deadline:
+        state.transfer_target = None
+    contact = max(state.leader_since, state.quorum_contact or state.leader_since)
+    if now - contact > settings.election_timeout_max_seconds:
+        state_module.become_follower(state, state.term, None, now)
+
+
+def on_append_response(
+    state: State, sender: str, message: messages.AppendResponse, now: float
+) -> None:
+    """Advances or backtracks a peer."""
+    progress = state.progress.get(sender)
+    if state.role is not Role.LEADER or progress is None or message.term != state.term:
+        return
+    _note_round(state, progress, message.round)
+    progress.probe_sent = False
+    if not message.success:
+        _backtrack(state, progress, message)
+    else:
+        _advance(state, sender, progress, message.match)
+    if state.role is Role.LEADER and sender in state.progress:
+        _replicate(state, sender, heartbeat=False)
+        _continue_transfer(state, sender)
+
+
+def on_snapshot_response(
+    state: State, sender: str, message: messages.SnapshotResponse, now: float
+) -> None:
+    """Sends the next chunk."""
+    progress = state.progress.get(sender)
+    if state.role is not Role.LEADER or progress is None or message.term != state.term:
+        return
+    _note_round(state, progress, message.round)
+    if progress.snapshot is None or progress.snapshot.index != message.index:
+        return
+    if message.received != progress.offset:
+        progress.offset = message.received
+        _send_chunk(state, sender, progress)
+
+
+def _backtrack(state: State, progress: Progress, message: messages.AppendResponse) -> None:
+    known = state.log.last_of_term(message.hint_term) if message.hint_term else None
+    guess = message.hint_index if known is None else known + 1
+    progress.next = max(progress.match + 1, min(guess, state.log.last_index + 1))
+    progress.probing = True
+
+
+def _advance(state: State, sender: str, progress: Progress, match: int) -> None:
+    progress.probing = False
+    if progress.snapshot is not None and match >= progress.snapshot.index:
+        progress.snapshot = None
+    if match > progress.match:
+        progress.match = match
+        advance_commit(state)
+    progress.next = max(progress.next, progress.match + 1)
+    state.peers.acknowledge(sender, min(progress.match, state.commit))
+
+
+def _note_round(state: State, progress: Progress, number: int) -> None:
+    if number > progress.round:
+        progress.round = number
+        _update_quorum_contact(state)
+
+
+def _majority_value(state: State, own: int, values: dict[str, int]) -> int:
+    """Returns the highest value that a majority of the voters has reached."""
+    me = state.identity.replica
+    ranked = sorted((own if peer == me else values[peer] for peer in state.voters), reverse=True)
+    return ranked[len(ranked) // 2]
+
+
+def _update_quorum_contact(state: State) -> None:
+    rounds = {peer: progress.round for peer, progress in state.progress.items()}
+    reached = _majority_value(state, state.round, rounds)
+    if reached <= state.acknowledged_round:
+        return
+    state.acknowledged_round = reached
+    state.quorum_contact = state.round_starts[reached]
+    for number in [number for number in state.round_starts if number <= reached]:
+        del state.round_starts[number]
+    _release_reads(state)
+
+
+def _release_reads(state: State) -> None:
+    waiting = []
+    for read in state.reads:
+        identifier, number, index = read
+        if number <= state.acknowledged_round and index <= state.commit:
+            state.ready_reads.append(identifier)
+        else:
+            waiting.append(read)
+    state.reads = waiting
+
+
+def advance_commit(state: State) -> None:
+    """Commits what a majority has synced, if it is of the current term."""
+    matches = {peer: progress.match for peer, progress in state.progress.items()}
+    reached = _majority_value(state, state.log.last_index, matches)
+    if reached <= state.commit or state.log.term_at(reached) != state.term:
+        return
+    state.commit = reached
+    for peer, progress in state.progress.items():
+        state.peers.acknowledge(peer, min(progress.match, reached))
+    _release_reads(state)
+    if not state.is_voter and state.configurations[-1][0] <= state.commit:
+        # The leader was removed; a last message tells the others that this is committed.
+        broadcast(state, heartbeat=True)
+        state.role = Role.FOLLOWER
+        state.leader = None
+        state.progress = {}
+        state.reads = []
+
+
+def _continue_transfer(state: State, peer: str) -> None:
+    if peer != state.transfer_target:
+        return
+    if state.progress[peer].match == state.log.last_index:
+        state_module.send(state, peer, messages.TimeoutNow(state.term))
+
+
+def _replicate(state: State, peer: str, heartbeat: bool) -> None:
+    progress = state.progress[peer]
+    if progress.snapshot is not None:
+        if heartbeat:
+            _send_chunk(state, peer, progress)
+        return
+    previous_term = state.log.term_at(progress.next - 1)
+    if previous_term is None:
+        progress.snapshot, progress.offset = state.snapshot, 0
+        _send_chunk(state, peer, progress)
+        return
+    entries = _next_entries(state, progress, heartbeat)
+    if not entries and not heartbeat:
+        return
+    request = messages.AppendRequest(
+        term=state.term,
+        previous_index=progress.next - 1,
+        previous_term=previous_term,
+        entries=entries,
+        commit=state.commit,
+        round=state.round,
+    )
+    state_module.send(state, peer, request)
+    if progress.probing:
+        progress.probe_sent = True
+    else:
+        progress.next += len(entries)
+
+
+def _next_entries(state: State, progress: Progress, heartbeat: bool) -> tuple[schema.Entry, ...]:
+    settings = state.settings
+    if progress.probing and progress.probe_sent and not heartbeat:
+        return ()
+    if progress.next - progress.match > settings.max_inflight_entries and not progress.probing:
+        return ()
+    return state.log.batch(progress.next, settings.max_batch_entries, settings.max_batch_bytes)
+
+
+def _send_chunk(state: State, peer: str, progress: Progress) -> None:
+    snapshot = progress.snapshot
+    end = progress.offset + state.settings.snapshot_chunk_bytes
+    request = messages.SnapshotRequest(
+        term=state.term,
+        index=snapshot.index,
+        index_term=snapshot.term,
+        members=snapshot.members,
+        offset=progress.offset,
+        total=len(snapshot.data),
+        checksum=zlib.crc32(snapshot.data),
+        data=snapshot.data[progress.offset : end],
+        round=state.round,
+    )
+    state_module.send(state, peer, request)
--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/raft.py
@@ -0,0 +1,312 @@
+"""Raft replica as a pure state machine."""
+
+import random
+from collections.abc import Mapping, Sequence
+
+from coltsfoothead.coordination.replication import (
+    effects,
+    election,
+    errors,
+    following,
+    leading,
+    logview,
+    membership,
+    messages,
+    peers,
+)
+from coltsfoothead.coordination.replication import settings as settings_module
+from coltsfoothead.coordination.replication import state as state_module
+from coltsfoothead.coordination.replication.state import Role
+from coltsfoothead.coordination.storage import folder, schema
+
+__all__ = ["Replica", "bootstrap_entries"]
+
+_HANDLERS = {
+    messages.PreVoteRequest: election.on_pre_vote_request,
+    messages.PreVoteResponse: election.on_pre_vote_response,
+    messages.VoteRequest: election.on_vote_request,
+    messages.VoteResponse: election.on_vote_response,
+    messages.TimeoutNow: election.on_timeout_now,
+    messages.AppendRequest: following.on_append_request,
+    messages.AppendResponse: leading.on_append_response,
+    messages.SnapshotRequest: following.on_snapshot_request,
+    messages.SnapshotResponse: leading.on_snapshot_response,
+}
+
+
+def bootstrap_entries(
+    voters: Mapping[str, tuple[str, str]], require_zone_spread: bool
+) -> tuple[schema.HardState, tuple[schema.Entry, ...]]:
+    """Returns the state with which every first voter of a new cluster starts.
+
+    Parameters
+    ----------
+    voters : mapping of str to tuple of str
+        Address and zone of each voter; all voters must be given the same mapping.
+    require_zone_spread : bool
+        Whether to refuse voters of which one of several zones holds a majority.
+
+    Raises
+    ------
+    ZoneSpreadError
+        If the zones are refused.
+    """
+    members = {name: schema.Member(*place, voter=True) for name, place in voters.items()}
+    if require_zone_spread:
+        membership.check_zone_spread({}, members)
+    entry = schema.Entry(1, 1, logview.MEMBERSHIP, membership.encode(members))
+    return schema.HardState(1, ""), (entry,)
+
+
+class Replica:
+    """Replica of one log.
+
+    Parameters
+    ----------
+    stored : ReplicaFolder
+        Opened data folder; only read here.
+    settings : Settings
+        Timings and limits.
+    randomness : random.Random
+        Source of election timeouts.
+    now : float
+        Monotonic seconds.
+
+    Notes
+    -----
+    Every method that returns `Effects` requires the caller to carry them out, in the order that
+    `Effects` states, before those of the next call.
+    """
+
+    def __init__(
+        self,
+        stored: folder.ReplicaFolder,
+        settings: settings_module.Settings,
+        randomness: random.Random,
+        now: float,
+    ):
+        members = stored.snapshot.members if stored.snapshot else {}
+        self._state = state_module.State(stored, members, settings, randomness, now)
+        self._peers_written = now
+
+    @property
+    def state(self) -> state_module.State:
+        """State for reading."""
+        return self._state
+
+    @property
+    def role(self) -> Role:
+        """Role; a replica that is no voter is a learner."""
+        state = self._state
+        if state.role is Role.FOLLOWER and not state.is_voter:
+            return Role.LEARNER
+        return state.role
+
+    def quorum_contact(self) -> float | None:
+        """Returns the start time of the last heartbeat round that a majority acknowledged.
+
+        None if this replica does not lead or no round of its term was acknowledged yet.
+        """
+        return self._state.quorum_contact if self._state.role is Role.LEADER else None
+
+    def step(self, envelope: messages.Envelope, now: float) -> effects.Effects:
+        """Handles a message.
+
+        Raises
+        ------
+        MessageError
+            If the message is from another cluster; it has no effect.
+        RolledBackError
+            If a peer has seen a later state of this replica, which must stop.
+        LogSafetyError
+            If the message contradicts a committed entry; the replica must stop.
+        """
+        state = self._state
+        if envelope.cluster != state.identity.cluster:
+            raise errors.MessageError(f"message from cluster {envelope.cluster!r}")
+        if envelope.sender == state.identity.replica:
+            raise errors.MessageError("message from a replica with this one's ID")
+        if isinstance(envelope.body, messages.Refused):
+            peers.check_own(state.identity, state.log.last_index, envelope.body.seen)
+            return self._take(now)
+        seen = state.peers.admit(envelope)
+        if seen is not None:
+            state_module.send(state, envelope.sender, messages.Refused(seen))
+        elif self._enter_term(envelope.body, now):
+            _HANDLERS[type(envelope.body)](state, envelope.sender, envelope.body, now)
+        return self._take(now)
+
+    def tick(self, now: float) -> effects.Effects:
+        """Handles the passing of time; to be called every few tens of milliseconds."""
+        if self._state.role is Role.LEADER:
+            leading.tick(self._state, now)
+        else:
+            election.tick(self._state, now)
+        return self._take(now)
+
+    def propose(self, commands: Sequence[bytes], now: float) -> tuple[range, effects.Effects]:
+        """Appends commands; returns their indexes.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica does not lead or is handing leadership over.
+        """
+        self._require_leader()
+        indexes = leading.propose(self._state, [(logview.COMMAND, command) for command in commands])
+        return indexes, self._take(now)
+
+    def barrier(self, now: float) -> tuple[int, effects.Effects]:
+        """Starts a linearizable read barrier; its ID comes back in `Effects.reads`.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica does not lead.
+        """
+        self._require_leader()
+        read = leading.start_barrier(self._state, now)
+        return read, self._take(now)
+
+    def add_learner(
+        self, name: str, address: str, zone: str, now: float
+    ) -> tuple[int, effects.Effects]:
+        """Adds a learner; returns the index of the change."""
+        self._require_stable_members()
+        return self._change(membership.with_learner(self._state.members, name, address, zone), now)
+
+    def promote(self, name: str, now: float) -> tuple[int, effects.Effects]:
+        """Makes a learner a voter; returns the index of the change.
+
+        Raises
+        ------
+        NotCaughtUpError
+            If it has not synced all committed entries.
+        ZoneSpreadError
+            If one zone would get a majority of the voters.
+        """
+        self._require_stable_members()
+        state = self._state
+        members = membership.with_promotion(state.members, name)
+        if state.progress[name].match < state.commit:
+            raise errors.NotCaughtUpError(
+                f"learner {name!r} has {state.progress[name].match} of {state.commit} entries"
+            )
+        return self._change(members, now)
+
+    def remove(self, name: str, now: float) -> tuple[int, effects.Effects]:
+        """Removes a voter or learner; returns the index of the change."""
+        self._require_stable_members()
+        return self._change(membership.without(self._state.members, name), now)
+
+    def transfer(self, target: str | None, now: float) -> tuple[str, effects.Effects]:
+        """Starts handing leadership to `target` or the most advanced voter; returns its ID."""
+        self._require_leader()
+        chosen = leading.start_transfer(self._state, target, now)
+        return chosen, self._take(now)
+
+    def compact(self, snapshot: schema.Snapshot) -> effects.Install:
+        """Takes a snapshot of the applied state as base of the log.
+
+        Returns
+        -------
+        Install
+            What the caller must store before it continues.
+        """
+        state = self._state
+        state.snapshot = snapshot
+        state.log.compact(max(state.log.base[0], snapshot.index - state.settings.retained_entries))
+        state.configurations = [
+            (snapshot.index, dict(snapshot.members)),
+            *(item for item in state.configurations if item[0] > snapshot.index),
+        ]
+        base = state.log.base
+        return effects.Install(snapshot, base, state.log.between(base[0] + 1, state.log.last_index))
+
+    def members_at(self, index: int) -> dict[str, schema.Member]:
+        """Returns the members as of a committed index."""
+        known = [members for at, members in self._state.configurations if at <= index]
+        return known[-1]
+
+    def _require_leader(self) -> None:
+        state = self._state
+        if state.role is not Role.LEADER:
+            raise errors.NotLeaderError(state.leader)
+        if state.transfer_target is not None:
+            raise errors.NotLeaderError(state.transfer_target)
+
+    def _require_stable_members(self) -> None:
+        self._require_leader()
+        state = self._state
+        if state.configurations[-1][0] > state.commit or state.commit < state.term_start:
+            # Two configurations that are both uncommitted, or one proposed before the leader
+            # committed an entry of its term, could have majorities without a common voter.
+            raise errors.MembershipChangeError("an earlier change is not committed yet")
+
+    def _change(self, members: membership.Members, now: float) -> tuple[int, effects.Effects]:
+        state = self._state
+        if state.settings.require_zone_spread:
+            membership.check_zone_spread(state.members, members)
+        indexes = leading.propose(state, [(logview.MEMBERSHIP, membership.encode(members))])
+        return indexes[0], self._take(now)
+
+    def _enter_term(self, message: messages.Message, now: float) -> bool:
+        """Adopts a higher term; returns whether the message is to be handled."""
+        state = self._state
+        if message.term <= state.term or isinstance(message, messages.PreVoteRequest):
+            return True
+        # Leader stickiness: a candidate cannot raise the term of a live leader.
+        candidate = isinstance(message, messages.VoteRequest) and not message.transfer
+        if candidate and election.ignores_candidates(state, now):
+            return False
+        state_module.become_follower(state, message.term, None, now)
+        return True
+
+    def _take(self, now: float) -> effects.Effects:
+        state = self._state
+        entries = ()
+        if state.unsynced_from is not None:
+            entries = state.log.between(state.unsynced_from, state.log.last_index)
+        first = state.emitted + 1
+        committed = state.log.between(first, state.commit) if state.commit >= first else ()
+        hard_state = None
+        if state.hard_state_changed:
+            hard_state = schema.HardState(state.term, state.vote)
+        flush = now - self._peers_written >= state.settings.peer_flush_seconds
+        sync = bool(
+            hard_state
+            or entries
+            or state.install
+            or state.peers.urgent
+            or (state.peers.changed and flush)
+        )
+        changes = {}
+        if sync and state.peers.changed:
+            changes = state.peers.take_changes()
+            self._peers_written = now
+        result = effects.Effects(
+            install=state.install,
+            hard_state=hard_state,
+            entries=entries,
+            peers=changes,
+            sync=sync,
+            messages=tuple((peer, self._wrap(body)) for peer, body in state.outbox),
+            committed=committed,
+            reads=tuple(state.ready_reads),
+        )
+        state.outbox, state.ready_reads = [], []
+        state.install = state.unsynced_from = None
+        state.hard_state_changed = False
+        state.emitted = state.commit
+        return result
+
+    def _wrap(self, body: messages.Message) -> messages.Envelope:
+        identity = self._state.identity
+        return messages.Envelope(
+            cluster=identity.cluster,
+            sender=identity.replica,
+            incarnation=identity.incarnation,
+            boot=identity.boot,
+            last_index=self._state.log.last_index,
+            body=body,
+        )
--- a/packages/coordination/tests/test_storage.py
+++ b/packages/coordination/tests/test_storage.py
@@ -1,5 +1,6 @@
 """Tests of the data folder: torn tails, corruption, identity and snapshots."""
 
+import contextlib
 import pathlib
 import random
 import tempfile
@@ -166,6 +167,23 @@
         self.assertIn(last, (done, done + 1))
         self.assertEqual(tuple(again.entries), entries(again.base[0] + 1, last))
 
+    def test_crash_while_a_received_snapshot_is_installed(self):
+        """Guards against a log that does not fit the snapshot which was just stored."""
+        found = set()
+        for crash_after in range(12):
+            data = memory.MemoryDisk()
+            stored = open_folder(data)
+            stored.append(STATE, entries(1, 5), {})
+            data.crash_after = crash_after
+            snapshot = schema.Snapshot(50, 2, {}, b"state")
+            with contextlib.suppress(memory.SimulatedCrashError):
+                stored.save_snapshot(snapshot, (50, 2), (), STATE, {})
+            data.crash(random.Random(crash_after))
+            again = open_folder(data)
+            self.assertEqual(again.hard_state, STATE)
+            found.add((again.base, len(again.entries), again.snapshot is not None))
+        self.assertEqual(found, {((0, 0), 5, False), ((50, 2), 0, True)})
+
 
 class DirectoryDiskTest(unittest.TestCase):
     def test_folder_on_the_file_system(self):
