--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/status.py
@@ -0,0 +1,32 @@
+"""State of a replica as shown to others."""
+
+import dataclasses
+
+__all__ = ["Status"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """State of a replica.
+
+    Attributes
+    ----------
+    role : str
+        ``leader``, ``follower``, ``pre-candidate``, ``candidate`` or ``learner``.
+    voters, learners : tuple of str
+        IDs as of the newest committed membership.
+    quorum_contact : float or None
+        Start (monotonic seconds) of the last heartbeat round that a majority acknowledged; None
+        unless this replica leads.
+    """
+
+    role: str
+    term: int
+    leader: str | None
+    commit_index: int
+    applied_index: int
+    last_index: int
+    snapshot_index: int
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    quorum_contact: float | None
