Add the state machines that are applied from the logs

Cause: the replicated log needs deterministic state machines for configuration, leases, arbitration and the at-most-once ledger. Change: a host that dispatches decoded commands to the selected state machines; tags start with the state machine's name, so a command proposed to the wrong log is refused. An entry that cannot be decoded raises, since skipping it would let replicas of different releases diverge. Complete, Release and Abandon carry the claim's log index: by owner alone a resent Release could remove a later claim that was already sent. Expire of a lease carries the index of the renewal it counted from, so a renewal that entered the log first makes it void.

--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/configuration/__init__.py
@@ -0,0 +1,24 @@
+"""Compare-and-set configuration, its history, and the lease under which daemons use it."""
+
+from coltsfoothead.coordination.configuration.commands import (
+    NAME,
+    Accepted,
+    Apply,
+    Change,
+    ChangeReused,
+    Conflict,
+    DocumentTooLarge,
+)
+from coltsfoothead.coordination.configuration.state import ConfigurationState, Settings
+
+__all__ = [
+    "NAME",
+    "Accepted",
+    "Apply",
+    "Change",
+    "ChangeReused",
+    "ConfigurationState",
+    "Conflict",
+    "DocumentTooLarge",
+    "Settings",
+]
--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/configuration/state.py
@@ -0,0 +1,176 @@
+"""Configuration state machine."""
+
+import collections
+import itertools
+
+import msgspec
+
+from coltsfoothead.coordination.configuration import commands, delta, documents
+from coltsfoothead.coordination.machine import registry
+
+__all__ = ["ConfigurationState", "Settings"]
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Bounds of the state; equal on all replicas.
+
+    Parameters
+    ----------
+    documents_kept : int
+        Documents kept in full, for deltas and for going back.
+    changes_kept : int
+        Changes whose metadata is kept. The default is almost two days of the planned 11,000
+        changes a day.
+    refusals_kept : int
+        Refused changes whose answer is kept for resends. They are counted apart, so that a flood
+        of refused changes does not push accepted ones out.
+    document_limit_bytes : int
+        Largest document.
+    """
+
+    documents_kept: int = 16
+    changes_kept: int = 20_000
+    refusals_kept: int = 1000
+    document_limit_bytes: int = 1024 * 1024
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    digest: str
+    answer: commands.Conflict
+
+
+class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    clock: int
+    changes: list[commands.Change]
+    documents: list[documents.Document]
+    refusals: list[tuple[str, _Refusal]]
+
+
+@registry.register(
+    commands.NAME,
+    commands=(commands.Apply,),
+    results=(
+        commands.Accepted,
+        commands.Conflict,
+        commands.ChangeReused,
+        commands.DocumentTooLarge,
+    ),
+)
+class ConfigurationState:
+    """The current document, its history, and the answers to known change IDs.
+
+    Notes
+    -----
+    A resent change whose ID has been dropped cannot be applied twice: its expected version is old.
+    """
+
+    def __init__(self, settings: Settings = Settings()) -> None:  # noqa: B008 - frozen
+        self._settings = settings
+        self._clear()
+
+    @property
+    def current(self) -> documents.Document:
+        """The document in force."""
+        return self._documents.current
+
+    def history(self, limit: int | None = None) -> list[commands.Change]:
+        """Returns the metadata of the newest changes, newest first."""
+        return list(itertools.islice(reversed(self._changes), limit))
+
+    def document(self, version: int) -> documents.Document | None:
+        """Returns the document of a version if it is still kept in full."""
+        return self._documents.document(version)
+
+    def since(self, version: int, digest: str) -> documents.Update:
+        """Returns what an asker needs that has the document of this version and digest."""
+        return self._documents.since(version, digest)
+
+    def apply(self, index: int, command: commands.Apply) -> msgspec.Struct:
+        """Applies one command."""
+        self._clock = max(self._clock, command.applied_at)
+        digest = delta.digest(command.document)
+        known = self._known(command.change_id, digest)
+        if known is not None:
+            return known
+        if len(command.document) > self._settings.document_limit_bytes:
+            return commands.DocumentTooLarge(
+                len(command.document), self._settings.document_limit_bytes
+            )
+        current = self.current
+        if (command.expected_version, command.expected_digest) != (current.version, current.digest):
+            return self._refuse(command.change_id, digest)
+        return self._accept(command, digest)
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                self._clock,
+                list(self._changes),
+                list(self._documents.kept),
+                list(self._refusals.items()),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by that of a snapshot."""
+        snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
+        self._clear()
+        self._clock = snapshot.clock
+        for change in snapshot.changes:
+            self._remember(change)
+        for document in snapshot.documents:
+            self._documents.add(document)
+        self._refusals.update(snapshot.refusals)
+
+    def _clear(self) -> None:
+        self._clock = 0
+        self._documents = documents.Documents(self._settings.documents_kept)
+        self._changes: collections.deque[commands.Change] = collections.deque()
+        self._by_id: dict[str, commands.Change] = {}
+        self._refusals: collections.OrderedDict[str, _Refusal] = collections.OrderedDict()
+
+    def _known(self, change_id: str, digest: str) -> msgspec.Struct | None:
+        change = self._by_id.get(change_id)
+        refusal = self._refusals.get(change_id)
+        first = change or refusal
+        if first is None:
+            return None
+        if first.digest != digest:
+            return commands.ChangeReused(change_id, first.digest)
+        if refusal is not None:
+            return refusal.answer
+        return commands.Accepted(change.version, change.digest)
+
+    def _refuse(self, change_id: str, digest: str) -> commands.Conflict:
+        answer = commands.Conflict(0, "", "", "")
+        if self._changes:
+            winner = self._changes[-1]
+            answer = commands.Conflict(
+                winner.version, winner.digest, winner.author, winner.change_id
+            )
+        self._refusals[change_id] = _Refusal(digest, answer)
+        if len(self._refusals) > self._settings.refusals_kept:
+            self._refusals.popitem(last=False)
+        return answer
+
+    def _accept(self, command: commands.Apply, digest: str) -> commands.Accepted:
+        version = self.current.version + 1
+        self._remember(
+            commands.Change(
+                version,
+                digest,
+                command.author,
+                command.change_id,
+                self._clock,
+                len(command.document),
+            )
+        )
+        self._documents.add(documents.Document(version, digest, command.document))
+        return commands.Accepted(version, digest)
+
+    def _remember(self, change: commands.Change) -> None:
+        self._changes.append(change)
+        self._by_id[change.change_id] = change
+        if len(self._changes) > self._settings.changes_kept:
+            del self._by_id[self._changes.popleft().change_id]
--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/machine/errors.py
@@ -0,0 +1,26 @@
+"""Errors raised by the state machine host."""
+
+from coltsfoothead.coordination import errors
+
+__all__ = [
+    "DuplicateKindError",
+    "MalformedCommandError",
+    "SnapshotMismatchError",
+    "UnknownKindError",
+]
+
+
+class DuplicateKindError(errors.CoordinationError):
+    """Two state machines were registered under one name."""
+
+
+class UnknownKindError(errors.CoordinationError):
+    """No state machine is registered under a name."""
+
+
+class MalformedCommandError(errors.CoordinationError):
+    """A log entry is not a command of any selected state machine."""
+
+
+class SnapshotMismatchError(errors.CoordinationError):
+    """A snapshot is of another format or of other state machines."""
--- /dev/null
+++ b/packages/coordination/tests/test_machine.py
@@ -0,0 +1,121 @@
+"""Tests of the state machine host, of arbitration, and of snapshots of all state machines."""
+
+import unittest
+
+import hypothesis
+import machine_builders as builders
+from hypothesis import strategies as st
+
+from coltsfoothead.coordination import arbitration, lease, ledger
+from coltsfoothead.coordination.machine import errors, host, registry
+
+SMALL = {
+    "ledger": ledger.Settings(retention_ms=20, tombstone_ms=20, expire_batch=2),
+    "arbitration": arbitration.Settings(retired_members=2),
+}
+
+small = st.integers(1, 3)
+name = st.sampled_from(["a", "b", "c"])
+key = st.builds(builders.key, name)
+number = st.integers(1, 40)
+pair = (name, small, name, small)
+command = st.one_of(
+    st.builds(builders.change, name, st.integers(0, 3), st.just(""), name),
+    st.builds(
+        lambda change, version, old, new: builders.change(
+            change, version, builders.digest(old), new, applied_at=version
+        ),
+        name,
+        st.integers(0, 4),
+        name,
+        name,
+    ),
+    st.builds(lease.Grant, name, name, small, st.sampled_from([0.0, 5.0, float("nan")]), name),
+    st.builds(lease.Renew, name, name, small, number),
+    st.builds(lease.Release, name, name, small, number),
+    st.builds(lease.Expire, name, number, number),
+    st.builds(arbitration.TakeOver, *pair),
+    st.builds(arbitration.Replace, *pair),
+    st.builds(arbitration.Retire, name, small),
+    st.builds(builders.claim, name, name, name, small, st.integers(0, 100)),
+    st.builds(ledger.Complete, key, name, number, st.just(ledger.Answer(200, (), b"answer"))),
+    st.builds(ledger.Release, key, name, number),
+    st.builds(ledger.Abandon, key, name, number),
+    st.builds(ledger.Expire, st.integers(0, 100)),
+    st.builds(ledger.OwnerGone, name, small),
+)
+
+
+class HostTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None, database=None)
+    @hypothesis.given(st.lists(command, min_size=40, max_size=80), st.integers(0, 60))
+    def test_a_restored_replica_has_the_same_future(self, commands, cut):
+        """Guards against state that a snapshot leaves out, and against order kept in sets."""
+        log = builders.Log(SMALL)
+        before = [log(command) for command in commands[:cut]]
+        self.assertEqual(len(before), min(cut, len(commands)))
+        copy = log.copy()
+        for command in commands[cut:]:
+            self.assertEqual(log(command), copy(command))
+        self.assertEqual(log.machine.snapshot(), copy.machine.snapshot())
+        self.assertEqual(
+            log.machine.state("ledger").state_bytes(), copy.machine.state("ledger").state_bytes()
+        )
+
+    def test_a_command_of_another_log_is_refused(self):
+        """Guards against a ledger release being taken for a lease release."""
+        machine = host.Machine(host.CONTROL_KINDS)
+        data = registry.encode(ledger.Release(builders.key(), "a", 1))
+        for call in (lambda: machine.check(data), lambda: machine.apply(1, data)):
+            with self.assertRaisesRegex(errors.MalformedCommandError, "configuration, lease"):
+                call()
+        self.assertEqual(machine.apply(1, b""), b"")
+
+    def test_a_foreign_snapshot_is_refused(self):
+        """Guards against a ledger replica starting from the control log's snapshot."""
+        data = host.Machine(host.CONTROL_KINDS).snapshot()
+        for bad in (data, b"junk"):
+            with self.assertRaises(errors.SnapshotMismatchError):
+                host.Machine(host.LEDGER_KINDS).restore(bad)
+        with self.assertRaisesRegex(errors.UnknownKindError, "known: arbitration"):
+            host.Machine(("other",))
+
+
+class ArbitrationTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=200, deadline=None, database=None)
+    @hypothesis.given(
+        st.lists(
+            st.one_of(
+                st.builds(arbitration.TakeOver, *pair),
+                st.builds(arbitration.Replace, *pair),
+                st.builds(arbitration.Retire, name, small),
+            ),
+            min_size=20,
+            max_size=40,
+        )
+    )
+    def test_a_pair_never_has_two_winners(self, commands):
+        """Guards against a second owner, also after the pair's decision was removed."""
+        log = builders.Log(kinds=host.CONTROL_KINDS)
+        winners = {}
+        for command in commands:
+            result = log(command)
+            if isinstance(result, arbitration.Decided):
+                pair = (command.owner, command.owner_incarnation)
+                pair += (command.guard, command.guard_incarnation)
+                self.assertEqual(winners.setdefault(pair, result.winner), result.winner)
+                proposed = isinstance(command, arbitration.TakeOver)
+                self.assertEqual(result.won, (result.winner == "take_over") == proposed)
+
+    def test_retired_pairs_are_removed(self):
+        """Guards against decisions that accumulate over restarts."""
+        log = builders.Log(kinds=host.CONTROL_KINDS)
+        for incarnation in range(1, 5):
+            log(arbitration.TakeOver("a", incarnation, "b", 1))
+        self.assertEqual(log(arbitration.Retire("a", 3)), arbitration.Retired(3))
+        self.assertEqual(
+            log(arbitration.Replace("a", 2, "b", 1)), arbitration.RetiredMember("a", 2)
+        )
+        self.assertEqual(
+            log(arbitration.Replace("a", 4, "b", 1)), arbitration.Decided("take_over", 4, False)
+        )
