--- a/packages/coordination/src/coltsfoothead/coordination/configuration/delta.py
+++ b/packages/coordination/src/coltsfoothead/coordination/configuration/delta.py
@@ -1,6 +1,5 @@
 """Deltas between versions of a document."""
 
-import difflib
 import hashlib
 import itertools
 
@@ -10,8 +9,6 @@
 
 __all__ = ["DeltaMismatchError", "Piece", "apply", "digest", "make"]
 
-# Line matching takes quadratic time at worst; beyond this the changed middle is sent whole.
-_MATCHED_LINES = 2000
 # A copied range costs up to 11 bytes encoded, so shorter ones are cheaper as text.
 _SHORTEST_COPY_BYTES = 12
 
@@ -31,13 +28,7 @@
 def make(base: bytes, target: bytes) -> tuple[Piece, ...] | None:
     """Returns pieces that build `target` from `base`, or None if that saves nothing."""
     old, new = base.splitlines(keepends=True), target.splitlines(keepends=True)
-    pairs = zip(old, new, strict=False)
-    head = sum(1 for _ in itertools.takewhile(lambda pair: pair[0] == pair[1], pairs))
-    pairs = zip(reversed(old[head:]), reversed(new[head:]), strict=False)
-    tail = sum(1 for _ in itertools.takewhile(lambda pair: pair[0] == pair[1], pairs))
-    old_end, new_end = len(old) - tail, len(new) - tail
-    blocks = [(0, 0, head), *_match(old, new, head, old_end, new_end), (old_end, new_end, tail)]
-    pieces = _pieces(old, new, blocks)
+    pieces = _pieces(old, new)
     if len(msgspec.msgpack.encode(pieces)) >= len(target):
         return None
     return tuple(pieces)
@@ -61,29 +52,36 @@
     return document
 
 
-def _match(
-    old: list[bytes], new: list[bytes], head: int, old_end: int, new_end: int
-) -> list[tuple[int, int, int]]:
-    if max(old_end, new_end) - head > _MATCHED_LINES:
-        return []
-    matcher = difflib.SequenceMatcher(None, old[head:old_end], new[head:new_end], autojunk=False)
-    return [(head + a, head + b, size) for a, b, size in matcher.get_matching_blocks() if size]
-
-
-def _pieces(old: list[bytes], new: list[bytes], blocks: list[tuple[int, int, int]]) -> list[Piece]:
+def _pieces(old: list[bytes], new: list[bytes]) -> list[Piece]:
+    # Greedy copies in linear time. difflib took minutes on 2,000 lines of which many are equal,
+    # and this runs on the event loop.
     offsets = list(itertools.accumulate(map(len, old), initial=0))
+    positions = {pair: position for position, pair in enumerate(itertools.pairwise(old))}
     pieces: list[Piece] = []
-    text = b""
-    position = 0
-    for old_start, new_start, size in blocks:
-        text += b"".join(new[position:new_start])
-        position = new_start + size
-        start, length = offsets[old_start], offsets[old_start + size] - offsets[old_start]
+    text: list[bytes] = []
+    old_position = new_position = 0
+    while new_position < len(new):
+        pair = tuple(new[new_position : new_position + 2])
+        starts = (old_position, positions.get(pair, len(old)))
+        size, start = max((_equal_lines(old, new, at, new_position), at) for at in starts)
+        length = offsets[start + size] - offsets[start]
         if length < _SHORTEST_COPY_BYTES:
-            text += b"".join(new[new_start:position])
+            # Going on in both keeps the place after a replaced line.
+            text.append(new[new_position])
+            old_position = min(old_position + 1, len(old))
+            new_position += 1
             continue
         if text:
-            pieces.append(text)
-            text = b""
-        pieces.append((start, length))
-    return [*pieces, text] if text else pieces
+            pieces.append(b"".join(text))
+            text = []
+        pieces.append((offsets[start], length))
+        old_position, new_position = start + size, new_position + size
+    return [*pieces, b"".join(text)] if text else pieces
+
+
+def _equal_lines(old: list[bytes], new: list[bytes], old_start: int, new_start: int) -> int:
+    limit = min(len(old) - old_start, len(new) - new_start)
+    size = 0
+    while size < limit and old[old_start + size] == new[new_start + size]:
+        size += 1
+    return size
