Add the SWIM failure detector and its task

A leave before the join was answered goes to the seeds; without this the example hung once, since its member was seen as dead and never as left.

--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""SWIM failure detector and directory of upstreams."""
--- /dev/null
+++ b/packages/coordination/src/coltsfoothead/coordination/membership/task.py
@@ -0,0 +1,162 @@
+"""Task that runs the failure detector over links."""
+
+import asyncio
+import logging
+import time
+
+import msgspec
+
+from coltsfoothead.coordination import errors
+from coltsfoothead.coordination.membership import members
+
+__all__ = ["ADDRESS_PREFIX", "CHANNEL", "Membership", "MembershipError", "SupersededError"]
+
+CHANNEL = "swim"
+ADDRESS_PREFIX = "@"
+"""Prefix of the peer ID of a member that is known by address only, as `transport.links` has it."""
+
+_INBOX_MESSAGES = 4096
+_LOG = logging.getLogger(__name__)
+
+
+class MembershipError(errors.CoordinationError):
+    """Base class of the membership errors."""
+
+
+class SupersededError(MembershipError):
+    """Another process runs under this member's ID with a higher incarnation."""
+
+
+class Membership:
+    """Drives a detector over links and publishes its changes.
+
+    Parameters
+    ----------
+    links : transport.links.Links
+        Started links; this task owns their peers.
+    detector : swim.Detector
+        Detector of this process; its record carries the address that peers connect to.
+    seeds : Sequence[str]
+        Addresses of members to join through.
+    clock : Callable[[], float], optional
+        Monotonic time.
+
+    Examples
+    --------
+    See ``packages/coordination/examples/membership.py``.
+    """
+
+    def __init__(self, links, detector, seeds=(), clock=time.monotonic):
+        self._links = links
+        self._detector = detector
+        self._seeds = tuple(seeds)
+        self._clock = clock
+        self._inbox = asyncio.Queue(_INBOX_MESSAGES)
+        self._subscribers = []
+        self._peers = None
+        self._task = None
+        self.dropped = 0
+
+    @property
+    def members(self):
+        """Read-only mapping of the known records by member ID."""
+        return self._detector.members
+
+    def start(self):
+        """Starts the task and returns it; it raises `SupersededError` if it must stop."""
+        self._links.on(CHANNEL, self._receive)
+        self._set_peers()
+        self._task = asyncio.create_task(self._run())
+        return self._task
+
+    async def stop(self):
+        """Stops the task without a leave."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def leave(self):
+        """Announces the leave and stops the task; `Links.stop` writes out what is queued."""
+        await self.stop()
+        self._apply(self._detector.leave(self._clock()))
+
+    def subscribe(self):
+        """Returns a queue that gets every later `swim.Change`."""
+        queue = asyncio.Queue()
+        self._subscribers.append(queue)
+        return queue
+
+    def unsubscribe(self, queue):
+        """Ends a subscription."""
+        self._subscribers.remove(queue)
+
+    def update(self, **fields):
+        """Changes fields of the own record, for example ``metadata``."""
+        self._apply(self._detector.update(self._clock(), **fields))
+
+    def _receive(self, sender, payload):
+        try:
+            self._inbox.put_nowait((sender, payload))
+        except asyncio.QueueFull:
+            self.dropped += 1
+
+    async def _run(self):
+        wake_at = self._apply(self._detector.join(self._seeds, self._clock()))
+        while True:
+            if self._clock() >= wake_at:
+                # Checked first, so that a full inbox cannot hold back the timers.
+                wake_at = self._apply(self._detector.tick(self._clock()))
+            try:
+                async with asyncio.timeout(max(0.0, wake_at - self._clock())):
+                    sender, payload = await self._inbox.get()
+            except TimeoutError:
+                continue
+            try:
+                message = members.decode(payload)
+            except msgspec.MsgspecError as error:
+                _LOG.warning("member %s sent an unreadable message: %s", sender, error)
+                continue
+            effects = self._detector.receive(sender, message, self._clock())
+            wake_at = self._apply(effects)
+
+    def _apply(self, effects):
+        """Carries out effects and returns when the next tick is due."""
+        if effects.superseded:
+            me = self._detector.me
+            raise SupersededError(
+                f"member {me.id} runs with a higher incarnation than {me.incarnation}"
+            )
+        if effects.changes:
+            self._set_peers()
+        for outgoing in effects.messages:
+            target = outgoing.to or ADDRESS_PREFIX + outgoing.address
+            try:
+                self._links.send(target, CHANNEL, members.encode(outgoing.message))
+            except errors.CoordinationError as error:
+                _LOG.debug("message to member %s was not sent: %s", target, error)
+        for change in effects.changes:
+            _LOG.info(
+                "member %s of zone %s is %s",
+                change.member.id,
+                change.member.zone,
+                change.member.state.name.lower(),
+            )
+            for queue in self._subscribers:
+                queue.put_nowait(change)
+        return effects.wake_at
+
+    def _set_peers(self):
+        """Gives the links the addresses; dead members keep theirs, since they may come back."""
+        peers = {
+            member.id: member.address
+            for member in self._detector.members.values()
+            if member.state is not members.State.LEFT and member.id != self._detector.me.id
+        }
+        if not any(self._alive(member_id) for member_id in peers):
+            seeds = [seed for seed in self._seeds if seed != self._detector.me.address]
+            peers |= {ADDRESS_PREFIX + seed: seed for seed in seeds}
+        if peers != self._peers:
+            self._peers = peers
+            self._links.set_peers(peers)
+
+    def _alive(self, member_id):
+        return self._detector.members[member_id].state <= members.State.SUSPECT
