--- a/packages/coordination/src/coltsfoothead/coordination/membership/directory.py
+++ b/packages/coordination/src/coltsfoothead/coordination/membership/directory.py
@@ -1,196 +1,181 @@
 """Directory of upstreams: soft state that expires unless it is renewed."""
 
 import dataclasses
-from collections.abc import Mapping
-from typing import Annotated, Literal
+import math
 
-import msgspec
+from coltsfoothead.coordination.membership import upstreams
 
-__all__ = [
-    "ROUTABLE_SECONDS",
-    "Directory",
-    "Load",
-    "Model",
-    "Renewal",
-    "Renewals",
-    "Upstream",
-    "decode",
-    "encode",
-]
+__all__ = ["Directory", "Settings"]
 
-ROUTABLE_SECONDS = 2.0
-"""An upstream whose last renewal as `serving` is older gets no new work."""
 
-# A record is shown to operators for a while after it expired.
-FORGET_SECONDS = 60.0
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Times of the directory."""
 
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-Address = Annotated[str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d+\Z")]
-Count = Annotated[int, msgspec.Meta(ge=0)]
+    expiry_seconds: float = 2.0
+    batch_seconds: float = 0.25
+    # Keeps the order of a record after its expiry, so that a delayed older one is recognised.
+    remember_seconds: float = 60.0
+    # Clocks of two VMs run apart by at most this share.
+    clock_drift: float = 0.001
 
 
-class Model(msgspec.Struct, frozen=True):
-    """A model that an engine has loaded."""
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """Record with the time (own clock) at which it was renewed at the latest known moment."""
 
-    name: Name
-    version: str = ""
-    adapters: tuple[str, ...] = ()
+    record: upstreams.Upstream
+    renewed_at: float
+    heard_at: float
 
 
-class Load(msgspec.Struct, frozen=True):
-    """Load report of an upstream; `measured_ms_ago` counts back from the announcement."""
+@dataclasses.dataclass(slots=True)
+class _PeerState:
+    """Newest stamp of a peer and when it arrived."""
 
-    running: Count = 0
-    waiting: Count = 0
-    measured_ms_ago: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    stamp: upstreams.Stamp | None = None
+    stamp_at: float = 0.0
 
 
-class Upstream(msgspec.Struct, frozen=True):
-    """Announcement of one upstream; unknown fields are ignored.
+class Directory:
+    """One daemon's view of all upstreams.
 
     Parameters
     ----------
-    incarnation, sequence : int
-        Start of the upstream's process and number of the announcement; they order announcements.
-    deadline_ms : float or None
-        Time left until a leaving upstream is gone.
-    """
-
-    upstream: Name
-    incarnation: Count
-    sequence: Count
-    state: Literal["serving", "leaving"]
-    kind: Literal["model", "service"]
-    address: Address
-    slots: Annotated[int, msgspec.Meta(ge=1)]
-    region: Name
-    zone: Name
-    vm: Name
-    service: str | None = None
-    vm_class: str = ""
-    models: tuple[Model, ...] = ()
-    role: str | None = None
-    checks_fencing: bool = False
-    load: Load | None = None
-    deadline_ms: Annotated[float, msgspec.Meta(ge=0)] | None = None
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """Key by which the newer of two announcements is kept."""
-        return (self.incarnation, self.sequence)
-
-
-class Renewal(msgspec.Struct, frozen=True, array_like=True):
-    """An announcement passed on, with the seconds since the sender's daemon received it."""
-
-    record: Upstream
-    age_seconds: Annotated[float, msgspec.Meta(ge=0)]
-
-
-class Renewals(msgspec.Struct, frozen=True, array_like=True):
-    """A batch of announcements."""
-
-    renewals: tuple[Renewal, ...]
-
-
-encode = msgspec.msgpack.Encoder().encode
-decode = msgspec.msgpack.Decoder(Renewals).decode
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Entry:
-    record: Upstream
-    heard_at: float
-
-
-class Directory:
-    """The newest announcement of each upstream and when it was made.
+    incarnation : int
+        Start counter of this process; marks its stamps.
+    now : float
+        Monotonic time in seconds.
+    settings : Settings, optional
+        Times.
 
     Notes
     -----
-    A copy counts from the moment at which the first daemon received the announcement, so neither
-    a wait in a queue nor duplication prolongs the life of a record.
-
-    Examples
-    --------
-    >>> Directory().routable(now=0.0)
-    []
+    A message can be delayed for longer than a record lives, and clocks of daemons are not
+    comparable. So each batch returns the receiver's own newest clock stamp together with the time
+    that the sender held it. The batch was sent no earlier than stamp plus held time, and the
+    receiver counts the age of each record from there. A delayed copy carries an old stamp and
+    cannot extend the life of a record; the estimate is early by one one-way delay. A batch
+    without an echo still brings newer records, but none that can be routed to.
     """
 
-    def __init__(self) -> None:
-        self._entries: dict[str, _Entry] = {}
-        self._unsent: set[str] = set()
+    def __init__(self, incarnation, now, settings=None):
+        self._incarnation = incarnation
+        self._settings = settings or Settings()
+        self._entries = {}
+        self._peers = {}
+        self._pending = set()
+        self._urgent = set()
+        self._next_batch = now
 
     @property
-    def records(self) -> Mapping[str, Upstream]:
-        """All records that are kept, by upstream."""
-        return {name: entry.record for name, entry in self._entries.items()}
+    def wake_at(self):
+        """When `outgoing` has something to send; call it after each `renew` as well."""
+        return -math.inf if self._urgent else self._next_batch
+
+    def set_peers(self, member_ids):
+        """Replaces the daemons that batches go to."""
+        self._peers = {key: self._peers.get(key, _PeerState()) for key in member_ids}
 
-    def renew(self, record: Upstream, now: float) -> bool:
-        """Takes an announcement that this daemon received from the upstream itself.
+    def renew(self, record, now):
+        """Takes an announcement that the upstream itself sent.
 
         Returns
         -------
         bool
-            Whether it is newer than what was known; only then is it passed on.
+            Whether the record is newer than the known one; a repeated announcement is not and
+            does not extend the record's life.
         """
-        newer = self._take(record, now)
-        if newer:
-            self._unsent.add(record.upstream)
-        return newer
-
-    def receive(self, batch: Renewals, now: float) -> list[Upstream]:
-        """Takes a batch of another daemon; returns the records that were newer."""
+        accepted = self._accept(record, now, now)
+        if accepted:
+            self._pending.add(record.upstream)
+            if record.state == "leaving":
+                self._urgent.add(record.upstream)
+        return accepted
+
+    def receive(self, sender, batch, now):
+        """Takes a batch of another daemon and returns the records accepted from it."""
+        peer = self._peers.setdefault(sender, _PeerState())
+        if peer.stamp is None or _newer(batch.stamp, peer.stamp):
+            peer.stamp, peer.stamp_at = batch.stamp, now
+        sent_at = self._sent_at(batch, now)
+        drift = 1 + self._settings.clock_drift
         return [
             renewal.record
             for renewal in batch.renewals
-            if self._take(renewal.record, now - renewal.age_seconds)
+            if self._accept(renewal.record, sent_at - max(0.0, renewal.age) * drift, now)
         ]
 
-    def take_unsent(self, now: float) -> Renewals | None:
-        """Returns what was announced here since the last call, or None."""
-        if not self._unsent:
-            return None
-        names, self._unsent = self._unsent, set()
-        entries = [self._entries[name] for name in sorted(names) if name in self._entries]
-        return Renewals(tuple(Renewal(each.record, now - each.heard_at) for each in entries))
+    def outgoing(self, now):
+        """Returns ``(member ID, Batch)`` for each peer: leaving records at once, others batched.
 
-    def age(self, upstream: str, now: float) -> float:
-        """Returns the seconds since the last announcement of an upstream."""
-        entry = self._entries.get(upstream)
-        return now - entry.heard_at if entry else float("inf")
+        A batch goes out each period even without renewals, since peers need fresh stamps.
+        """
+        if now >= self._next_batch:
+            names = self._pending | self._urgent
+            self._pending = set()
+            self._next_batch = now + self._settings.batch_seconds
+            self._sweep(now)
+        elif self._urgent:
+            names = self._urgent
+            self._pending -= names
+        else:
+            return []
+        self._urgent = set()
+        entries = [self._entries[name] for name in sorted(names) if name in self._entries]
+        renewals = tuple(
+            upstreams.Renewal(entry.record, max(0.0, now - entry.renewed_at)) for entry in entries
+        )
+        return [(name, self._batch(peer, renewals, now)) for name, peer in self._peers.items()]
 
-    def routable(self, now: float) -> list[Upstream]:
-        """Returns the upstreams that may get new work."""
-        return [
-            entry.record
-            for entry in self._entries.values()
-            if entry.record.state == "serving" and now - entry.heard_at < ROUTABLE_SECONDS
-        ]
+    def routable(self, now):
+        """Returns the records of upstreams that may be given new work."""
+        return [entry.record for entry in self._live(now) if entry.record.state == "serving"]
 
-    def is_routable(self, upstream: str, now: float) -> bool:
-        """Returns whether one upstream may get new work."""
-        entry = self._entries.get(upstream)
-        return (
-            entry is not None
-            and entry.record.state == "serving"
-            and now - entry.heard_at < ROUTABLE_SECONDS
-        )
+    def leaving(self, now):
+        """Returns the records of upstreams that announced their leave and still renew it."""
+        return [entry.record for entry in self._live(now) if entry.record.state == "leaving"]
 
-    def expire(self, now: float) -> list[Upstream]:
-        """Drops records that were not renewed for a minute, and returns them."""
-        old = [
-            entry.record
-            for entry in self._entries.values()
-            if now - entry.heard_at > FORGET_SECONDS
-        ]
-        for record in old:
-            del self._entries[record.upstream]
-        return old
+    def _live(self, now):
+        oldest = now - self._settings.expiry_seconds
+        return [entry for entry in self._entries.values() if entry.renewed_at > oldest]
 
-    def _take(self, record: Upstream, heard_at: float) -> bool:
+    def _accept(self, record, renewed_at, now):
         known = self._entries.get(record.upstream)
-        if known is not None and record.order <= known.record.order:
+        if known is None:
+            self._entries[record.upstream] = _Entry(record, renewed_at, now)
+            return True
+        if upstreams.order(record) < upstreams.order(known.record):
+            return False
+        if upstreams.order(record) == upstreams.order(known.record):
+            if renewed_at < now:
+                # Another copy with a better estimate of the same renewal; a repeated
+                # announcement has no estimate older than now and proves nothing.
+                known.renewed_at = max(known.renewed_at, renewed_at)
             return False
-        self._entries[record.upstream] = _Entry(record, heard_at)
+        if known.record.incarnation == record.incarnation and known.record.state == record.state:
+            # The newer renewal happened after the older one, whatever its estimate says.
+            renewed_at = max(renewed_at, known.renewed_at)
+        self._entries[record.upstream] = _Entry(record, renewed_at, now)
         return True
+
+    def _sent_at(self, batch, now):
+        """Returns the earliest own time at which the batch can have been sent."""
+        if batch.echo is None or batch.echo.incarnation != self._incarnation:
+            return -math.inf
+        held = max(0.0, batch.held) * (1 - self._settings.clock_drift)
+        return min(now, batch.echo.seconds + held)
+
+    def _batch(self, peer, renewals, now):
+        held = now - peer.stamp_at if peer.stamp is not None else 0.0
+        stamp = upstreams.Stamp(self._incarnation, now)
+        return upstreams.Batch(stamp, peer.stamp, held, renewals)
+
+    def _sweep(self, now):
+        oldest = now - self._settings.remember_seconds
+        for name in [key for key, entry in self._entries.items() if entry.heard_at < oldest]:
+            del self._entries[name]
+
+
+def _newer(left, right):
+    return (left.incarnation, left.seconds) > (right.incarnation, right.seconds)
--- a/packages/coordination/src/coltsfoothead/coordination/membership/swim.py
+++ b/packages/coordination/src/coltsfoothead/coordination/membership/swim.py
@@ -155,6 +155,9 @@
         self._members[self._me.id] = self._me
         for target in self._sample(self._settings.leave_fanout):
             self._send(target, members.Gossip((self._me,)))
+        if not self._ring:
+            # A seed may know this member already although its answer has not arrived.
+            self._send_to_seeds(members.Gossip((self._me,)))
         return self._effects()
 
     def update(self, now, **fields):
@@ -278,10 +281,11 @@
             self._ping(dead[self._dead_turn % len(dead)], now)
 
     def _ask_seeds(self):
-        if self._ring:
-            return
-        for seed in self._seeds:
-            self._messages.append(Outgoing(None, seed, members.Join(self._me)))
+        if not self._ring:
+            self._send_to_seeds(members.Join(self._me))
+
+    def _send_to_seeds(self, message):
+        self._messages += [Outgoing(None, seed, message) for seed in self._seeds]
 
     def _ping(self, target, now, requester=None, requester_sequence=0):
         if target not in self._members or target == self._me.id:
