Use the directory that bounds the age of records by the receiver's clock

Cause: the first directory counted only the time in the sender's queue, so a batch delayed in transit prolonged the life of a record by that delay. Ruled out: comparing clocks of two daemons (they are not comparable).

--- a/packages/coordination/src/coltsfoothead/coordination/membership/directory.py
+++ b/packages/coordination/src/coltsfoothead/coordination/membership/directory.py
@@ -73,6 +73,15 @@
         """When `outgoing` has something to send; call it after each `renew` as well."""
         return -math.inf if self._urgent else self._next_batch
 
+    @property
+    def records(self):
+        """All records that are kept, expired ones included, by upstream."""
+        return {name: entry.record for name, entry in self._entries.items()}
+
+    def age(self, upstream, now):
+        """Returns the seconds since the last renewal of an upstream that is known here."""
+        return now - self._entries[upstream].renewed_at
+
     def set_peers(self, member_ids):
         """Replaces the daemons that batches go to."""
         self._peers = {key: self._peers.get(key, _PeerState()) for key in member_ids}
--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -194,7 +194,11 @@
 
     async def _start_serving(self) -> None:
         self._directory = directorytask.DirectoryTask(
-            self._links, lambda: self._membership.members, self._clock
+            self._settings.daemon.id,
+            self._incarnation,
+            self._links,
+            lambda: self._membership.members,
+            self._clock,
         )
         self._spawn(self._directory.run())
         self._traffic = traffic.Traffic(
--- a/packages/daemon/src/coltsfoothead/daemon/operators/state.py
+++ b/packages/daemon/src/coltsfoothead/daemon/operators/state.py
@@ -223,7 +223,7 @@
             voters=voters,
         )
 
-    def _upstream(self, record: directory_module.Upstream) -> operations.UpstreamEntry:
+    def _upstream(self, record: upstream_records.Upstream) -> operations.UpstreamEntry:
         load = record.load
         return operations.UpstreamEntry(
             id=record.upstream,
--- a/packages/daemon/src/coltsfoothead/daemon/serving/router.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/router.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator, Mapping
 
 from coltsfoothead.coordination.membership import directory as directory_module
+from coltsfoothead.coordination.membership import upstreams
 from coltsfoothead.daemon.serving import generation, requests
 from coltsfoothead.kernel import environment, observation, registry, views
 from coltsfoothead.kernel.routing import subset
@@ -34,8 +35,8 @@
 
     def __init__(
         self,
-        records: Mapping[str, directory_module.Upstream],
-        build: Callable[[directory_module.Upstream], views.UpstreamView],
+        records: Mapping[str, upstreams.Upstream],
+        build: Callable[[upstreams.Upstream], views.UpstreamView],
     ) -> None:
         self._records = records
         self._build = build
@@ -173,7 +174,7 @@
         if not self._service_calls[upstream]:
             del self._service_calls[upstream]
 
-    def _candidates(self, records: Mapping[str, directory_module.Upstream]) -> tuple[str, ...]:
+    def _candidates(self, records: Mapping[str, upstreams.Upstream]) -> tuple[str, ...]:
         names = frozenset(records)
         if names != self._subset[0]:
             located = (
@@ -208,7 +209,7 @@
             excluded=excluded,
         )
 
-    def _upstream_view(self, record: directory_module.Upstream, now: float) -> views.UpstreamView:
+    def _upstream_view(self, record: upstreams.Upstream, now: float) -> views.UpstreamView:
         load = record.load
         report = None
         if load is not None:
@@ -242,7 +243,7 @@
 
 
 def _serves(
-    record: directory_module.Upstream, name: str, document: environment.Environment | None
+    record: upstreams.Upstream, name: str, document: environment.Environment | None
 ) -> bool:
     rule = document.model(name) if document else None
     if rule is None or (rule.zones and record.zone not in rule.zones):
--- a/packages/daemon/src/coltsfoothead/daemon/upstreams/announcements.py
+++ b/packages/daemon/src/coltsfoothead/daemon/upstreams/announcements.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from coltsfoothead.coordination.membership import directory
+from coltsfoothead.coordination.membership import upstreams
 from coltsfoothead.daemon.callers import refusals
 from coltsfoothead.daemon.http import message, server
 
@@ -24,7 +24,7 @@
         Takes an `Upstream` record; returns whether it is newer than what was known.
     """
 
-    def __init__(self, renew: Callable[[directory.Upstream], bool]) -> None:
+    def __init__(self, renew: Callable[[upstreams.Upstream], bool]) -> None:
         self._renew = renew
 
     async def handle(self, exchange: server.Exchange) -> None:
@@ -46,7 +46,7 @@
 
     def _announce(self, request: message.Request) -> message.Response:
         try:
-            record = msgspec.json.decode(request.body, type=directory.Upstream)
+            record = msgspec.json.decode(request.body, type=upstreams.Upstream)
         except msgspec.MsgspecError as error:
             raise refusals.refuse(refusals.Code.INVALID_BODY, str(error)) from error
         accepted = self._renew(record)
--- a/packages/daemon/src/coltsfoothead/daemon/upstreams/directorytask.py
+++ b/packages/daemon/src/coltsfoothead/daemon/upstreams/directorytask.py
@@ -9,19 +9,22 @@
 from coltsfoothead.coordination import errors as coordination_errors
 from coltsfoothead.coordination.membership import directory as directory_module
 from coltsfoothead.coordination.membership import members as members_module
+from coltsfoothead.coordination.membership import upstreams
 from coltsfoothead.coordination.transport import links as links_module
 
 __all__ = ["DirectoryTask"]
 
 CHANNEL = "directory"
-BATCH_SECONDS = 0.25
+WAKE_SECONDS = 0.05
 
 
 class DirectoryTask:
-    """Passes announcements on: renewals in batches, anything else at once.
+    """Passes announcements on: renewals in batches, a leave at once.
 
     Parameters
     ----------
+    own_id : str
+    incarnation : int
     links : Links
     members : callable
         Returns the member records by ID.
@@ -30,16 +33,19 @@
 
     def __init__(
         self,
+        own_id: str,
+        incarnation: int,
         links: links_module.Links,
         members: Callable[[], Mapping[str, members_module.Member]],
         clock: Callable[[], float],
     ) -> None:
-        self._directory = directory_module.Directory()
+        self._own_id = own_id
         self._links = links
         self._members = members
         self._clock = clock
+        self._directory = directory_module.Directory(incarnation, clock())
         self._states: dict[str, str] = {}
-        self._listeners: list[Callable[[directory_module.Upstream], None]] = []
+        self._listeners: list[Callable[[upstreams.Upstream], None]] = []
         links.on(CHANNEL, self._receive)
 
     @property
@@ -47,55 +53,59 @@
         """The directory."""
         return self._directory
 
-    def on_change(self, listener: Callable[[directory_module.Upstream], None]) -> None:
+    def on_change(self, listener: Callable[[upstreams.Upstream], None]) -> None:
         """Calls `listener` with a record when an upstream appears or changes its state."""
         self._listeners.append(listener)
 
-    def renew(self, record: directory_module.Upstream) -> bool:
+    def renew(self, record: upstreams.Upstream) -> bool:
         """Takes an announcement; returns whether it is newer than what was known."""
         newer = self._directory.renew(record, self._clock())
-        if newer and self._note(record):
+        if newer:
+            self._note(record)
             self._send()
         return newer
 
     async def run(self) -> None:
-        """Passes renewals on and drops old records until cancelled."""
+        """Passes renewals on until cancelled."""
         while True:
-            await asyncio.sleep(BATCH_SECONDS)
+            await asyncio.sleep(WAKE_SECONDS)
+            self._directory.set_peers(self._peers())
             self._send()
-            for record in self._directory.expire(self._clock()):
-                del self._states[record.upstream]
-                logging.info("upstream %s is forgotten", record.upstream)
+            for upstream in self._states.keys() - self._directory.records.keys():
+                del self._states[upstream]
+                logging.info("upstream %s is forgotten", upstream)
+
+    def _peers(self) -> list[str]:
+        return [
+            member.id
+            for member in self._members().values()
+            if member.state <= members_module.State.SUSPECT and member.id != self._own_id
+        ]
 
     def _receive(self, sender: str, payload: bytes) -> None:
         try:
-            batch = directory_module.decode(payload)
+            batch = upstreams.decode(payload)
         except msgspec.MsgspecError as error:
             logging.warning("member %s sent an unreadable directory batch: %s", sender, error)
             return
-        for record in self._directory.receive(batch, self._clock()):
+        for record in self._directory.receive(sender, batch, self._clock()):
             self._note(record)
 
-    def _note(self, record: directory_module.Upstream) -> bool:
-        """Returns whether the state of an upstream changed, after telling the listeners."""
+    def _note(self, record: upstreams.Upstream) -> None:
         state = f"{record.incarnation}/{record.state}"
         if self._states.get(record.upstream) == state:
-            return False
+            return
         self._states[record.upstream] = state
         logging.info("upstream %s on vm %s is %s", record.upstream, record.vm, record.state)
         for listener in self._listeners:
             listener(record)
-        return True
 
     def _send(self) -> None:
-        batch = self._directory.take_unsent(self._clock())
-        if batch is None:
+        now = self._clock()
+        if now < self._directory.wake_at:
             return
-        payload = directory_module.encode(batch)
-        for member in self._members().values():
-            if member.state > members_module.State.SUSPECT:
-                continue
+        for peer, batch in self._directory.outgoing(now):
             try:
-                self._links.send(member.id, CHANNEL, payload)
+                self._links.send(peer, CHANNEL, upstreams.encode(batch))
             except coordination_errors.CoordinationError as error:
-                logging.debug("directory batch to %s not sent: %s", member.id, error)
+                logging.debug("directory batch to %s not sent: %s", peer, error)
