Replicate accepted requests to a guard and take over those of a lost owner

Cause: an accepted request was lost with its entry daemon; its caller got 404 from the others. Change: owner and guard sides over the links; a request counts as accepted once a guard in another zone holds a copy; tokens are delivered once acknowledged; a lost owner or guard is decided through the control log, by pairing session so that a guard can serve again after a partition; drain hands over what does not finish; callers come back to any daemon. A refusal says `not_run` only once the guard holds it as the end of its copy. A given-up daemon claims under a new number. Ruled out: delivering ahead of the acknowledgement (the answer after a take-over could differ); a take-over without arbitration (two owners while the pair is cut).

--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -111,6 +111,8 @@
         """Refuses new work and waits for the running requests, within the drain's time."""
         logging.info("daemon %s: draining", self._settings.daemon.id)
         self._readiness.drain()
+        record = {"vm": self._settings.daemon.vm, "draining": "1"}
+        self._membership.update(metadata=record)
         await self._logs.hand_over()
         await self._capacity_lease.release()
         await self._traffic.drain(self._drain_deadline)
@@ -208,7 +210,7 @@
             self._client,
             self._proposer,
             self._directory.directory,
-            lambda: self._membership.members,
+            self._membership,
             self._readiness,
             self._metrics,
             self._clock,
--- a/packages/daemon/src/coltsfoothead/daemon/callers/delivery.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/delivery.py
@@ -4,19 +4,27 @@
 
 import msgspec
 
+from coltsfoothead.daemon import errors
 from coltsfoothead.daemon.callers import refusals
 from coltsfoothead.daemon.http import message, server
 from coltsfoothead.daemon.serving import requests
 
-__all__ = ["Reader", "deliver", "events", "whole_answer"]
+__all__ = ["MovedAwayError", "Reader", "deliver", "events", "whole_answer"]
 
 HEARTBEAT = b": ping\n\n"
 # A space may precede a JSON value, so it keeps a waiting connection alive without changing it.
 JSON_HEARTBEAT = b" "
 
+# Tells an event-stream client to come back soon; the connection is then broken on purpose.
+RECONNECT = b"retry: 100\n\n"
+
 _encode = msgspec.json.encode
 
 
+class MovedAwayError(errors.DaemonError):
+    """Another daemon owns the request now; the caller has to come back to it."""
+
+
 class Reader:
     """Reads the released part of a request as server-sent events.
 
@@ -98,12 +106,20 @@
 async def events(
     request: requests.ModelRequest, offset: int, heartbeat_seconds: float
 ) -> AsyncIterator[bytes]:
-    """Yields the answer as server-sent events from `offset` on, with heartbeats in between."""
+    """Yields the answer as server-sent events from `offset` on, with heartbeats in between.
+
+    Raises
+    ------
+    MovedAwayError
+        If another daemon becomes the owner.
+    """
     reader = Reader(request, offset)
     while True:
         data = reader.available()
         if data:
             yield data
+        elif request.moved:
+            raise MovedAwayError(f"request {request.request_id} has another owner")
         elif request.finished:
             yield reader.ending()
             return
@@ -155,8 +171,13 @@
             ("x-request-id", request.request_id),
         )
         await exchange.start(200, headers)
-        async for data in events(request, offset, heartbeat_seconds):
-            await exchange.write(data)
+        try:
+            async for data in events(request, offset, heartbeat_seconds):
+                await exchange.write(data)
+        except MovedAwayError:
+            await exchange.write(RECONNECT)
+            exchange.abort()
+            return
         await exchange.end()
         return
     if request.finished:
@@ -170,10 +191,10 @@
 ) -> None:
     headers = (("content-type", message.JSON_TYPE), ("x-request-id", request.request_id))
     await exchange.start(200, headers)
-    while not request.finished:
+    while not request.finished and not request.moved:
         if not await request.changed(heartbeat_seconds):
             await exchange.write(JSON_HEARTBEAT)
-    if isinstance(request.end, refusals.Refusal):
+    if request.moved or isinstance(request.end, refusals.Refusal):
         # The status is already sent; a broken body makes the caller ask again by request ID,
         # and that answer carries the error.
         exchange.abort()
--- a/packages/daemon/src/coltsfoothead/daemon/callers/idempotency.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/idempotency.py
@@ -92,12 +92,23 @@
             raise refusals.refuse(
                 refusals.Code.IDEMPOTENCY_KEY_EXPIRED, "the idempotency key is too old"
             )
-        command = commands.Claim(key, digest, request_id, self._owner, self._incarnation, now)
+        verdict = await self._propose_claim(key, digest, request_id, now)
+        if isinstance(verdict, commands.OwnerRefused):
+            # The others gave this daemon up while it was cut off. Its open claims are settled as
+            # unknown; new ones are safe under a new number.
+            self._incarnation = verdict.gone_incarnation + 1
+            verdict = await self._propose_claim(key, digest, request_id, now)
+        return verdict
+
+    async def give_up_owner(self, running: commands.Running) -> None:
+        """Makes the running calls of an owner that is lost unknown."""
+        command = commands.OwnerGone(running.owner, running.owner_incarnation)
         try:
-            return await self._proposals.propose_ledger(command)
+            await self._proposals.propose_ledger(command)
         except LedgerUnavailableError as error:
-            self._spawn(self._withdraw(command))
-            raise refusals.refuse(refusals.Code.LEDGER_UNAVAILABLE, str(error)) from error
+            raise refusals.refuse(
+                refusals.Code.OUTCOME_UNKNOWN, str(error), refusals.Execution.UNKNOWN, 1.0
+            ) from error
 
     async def complete(self, claim: Claim, answer: commands.Answer) -> None:
         """Stores the answer; keeps trying in the background if the ledger cannot commit now."""
@@ -119,6 +130,14 @@
         for task in list(self._background):
             task.cancel()
 
+    async def _propose_claim(self, key: keys.Key, digest: bytes, request_id: str, now: int) -> Any:
+        command = commands.Claim(key, digest, request_id, self._owner, self._incarnation, now)
+        try:
+            return await self._proposals.propose_ledger(command)
+        except LedgerUnavailableError as error:
+            self._spawn(self._withdraw(command))
+            raise refusals.refuse(refusals.Code.LEDGER_UNAVAILABLE, str(error)) from error
+
     async def _settle(self, command: Any) -> None:
         try:
             await self._proposals.propose_ledger(command)
@@ -156,6 +175,8 @@
     join_remote : callable
         Takes owner and request ID; waits until that daemon has settled the call, or returns early
         when it cannot be reached.
+    is_lost : callable
+        Takes an owner and its incarnation; returns whether the members have given it up.
     """
 
     def __init__(
@@ -163,10 +184,12 @@
         ledger: Ledger,
         owner: str,
         join_remote: Callable[[str, str], Awaitable[None]],
+        is_lost: Callable[[str, int], bool],
     ) -> None:
         self._ledger = ledger
         self._owner = owner
         self._join_remote = join_remote
+        self._is_lost = is_lost
         self._running: dict[str, asyncio.Event] = {}
 
     async def claim(self, key: keys.Key, digest: bytes) -> Claim | commands.Answer:
@@ -202,7 +225,9 @@
             await event.wait()
 
     async def _join(self, running: commands.Running) -> None:
-        if running.owner == self._owner:
+        if self._is_lost(running.owner, running.owner_incarnation):
+            await self._ledger.give_up_owner(running)
+        elif running.owner == self._owner:
             await self.wait_settled(running.request_id)
         else:
             await self._join_remote(running.owner, running.request_id)
--- a/packages/daemon/src/coltsfoothead/daemon/callers/models.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/models.py
@@ -20,6 +20,8 @@
 # An engine answers with its head at once; a request that waits longer counts as accepted, so that
 # its caller has the request ID.
 ACCEPT_SECONDS = 0.1
+# Time in which a guard confirms that a refused request will not be run by it later.
+CONFIRM_SECONDS = 1.0
 MODEL_SCOPE = "model"
 
 
@@ -47,8 +49,8 @@
 
     async def relay(
         self, exchange: server.Exchange, request_id: str, organisation: str, offset: int
-    ) -> bool:
-        """Delivers the rest of an answer from its holder; returns False if there is none."""
+    ) -> None:
+        """Delivers the rest of an answer from its holder; raises `RefusedError` without one."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,12 +142,7 @@
             self._metrics.count("requests_rejoined")
             await delivery.deliver(exchange, request, offset, self._times.heartbeat_seconds)
             return
-        if not await self._locator.relay(exchange, request_id, organisation, offset):
-            text = "the request does not exist or its answer is no longer kept"
-            unknown = refusals.Execution.UNKNOWN
-            raise refusals.refuse(
-                refusals.Code.REQUEST_NOT_FOUND, text, unknown, request_id=request_id
-            )
+        await self._locator.relay(exchange, request_id, organisation, offset)
 
     async def _once_only(
         self,
@@ -163,8 +160,11 @@
             return found.body.decode()
         try:
             accepted = await self._accept(organisation, body, fields, found.request_id)
+        except refusals.RefusedError as error:
+            await self._withdraw(found, error.refusal)
+            raise
         except BaseException:
-            await asyncio.shield(self._ledger.release(found))
+            await asyncio.shield(self._ledger.abandon(found))
             raise
         else:
             # The answer kept for a model request is its ID; the tokens are with owner and guard.
@@ -174,6 +174,12 @@
         finally:
             self._once.settled(found)
 
+    async def _withdraw(self, claim: idempotency.Claim, refusal: refusals.Refusal) -> None:
+        if refusal.execution is refusals.Execution.NOT_RUN:
+            await self._ledger.release(claim)
+        else:
+            await self._ledger.abandon(claim)
+
     async def _accept(
         self,
         organisation: environment.Organisation,
@@ -199,13 +205,26 @@
         return request
 
     async def _verdict(self, request: requests.ModelRequest) -> None:
-        """Waits shortly for an engine to take the request; raises if it was refused at once."""
+        """Waits shortly for an engine to take the request; raises if it was refused at once.
+
+        Notes
+        -----
+        `not_run` is said only once the guard holds the refusal as the end of its copy. A guard
+        that did not would run the request after the loss of this daemon.
+        """
         until = self._clock() + ACCEPT_SECONDS
         while not request.accepted and request.end is None and self._clock() < until:
             await request.changed(until - self._clock())
         if not request.accepted and isinstance(request.end, refusals.Refusal):
+            until = self._clock() + CONFIRM_SECONDS
+            while not request.finished and self._clock() < until:
+                await request.changed(until - self._clock())
+            refusal = request.end
+            if not request.finished:
+                unknown = refusals.Execution.UNKNOWN
+                refusal = dataclasses.replace(refusal, execution=unknown)
             self._drop(request)
-            raise refusals.RefusedError(request.end)
+            raise refusals.RefusedError(refusal)
         request.accepted = True
 
     def _drop(self, request: requests.ModelRequest) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/http/server.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/server.py
@@ -105,8 +105,8 @@
         await self._drain()
 
     def abort(self) -> None:
-        """Closes the connection so that the caller sees an incomplete response."""
-        self._writer.transport.abort()
+        """Closes the connection after what is written, so that the response stays incomplete."""
+        self._writer.close()
 
     def _send(self, event: h11.Event) -> None:
         if self._writer.is_closing():
--- a/packages/daemon/src/coltsfoothead/daemon/operators/state.py
+++ b/packages/daemon/src/coltsfoothead/daemon/operators/state.py
@@ -5,6 +5,7 @@
 from coltsfoothead.coordination.configuration import commands as configuration_commands
 from coltsfoothead.coordination.membership import directory as directory_module
 from coltsfoothead.coordination.membership import members as members_module
+from coltsfoothead.coordination.membership import upstreams as upstream_records
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon import readiness as readiness_module
 from coltsfoothead.daemon import settings as settings_module
--- a/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
@@ -98,7 +98,7 @@
         """Obtains the whole answer, or ends the request with a refusal."""
         try:
             async with asyncio.timeout_at(self._request.deadline):
-                while self._request.end is None:
+                while self._request.end is None and not self._request.moved:
                     await self._next_attempt()
         except TimeoutError:
             self._end(self._given_up())
--- a/packages/daemon/src/coltsfoothead/daemon/serving/requests.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/requests.py
@@ -59,6 +59,7 @@
         self.released = 0
         self.end: Completion | refusals.Refusal | None = None
         self.ended_at: float | None = None
+        self.moved = False
         self._end_released = False
         self._waiters: list[asyncio.Future[None]] = []
         self._end_callbacks: list[Callable[[], None]] = []
@@ -89,7 +90,7 @@
         Tokens of an old attempt count as none, and so do tokens that leave a gap.
         """
         known = len(self.tokens) - offset
-        if attempt != self.attempt or self.end is not None or known < 0:
+        if self.moved or attempt != self.attempt or self.end is not None or known < 0:
             return 0
         fresh = texts[known:]
         self.tokens.extend(fresh)
@@ -112,6 +113,12 @@
         for callback in callbacks:
             callback()
 
+    def move_away(self) -> None:
+        """Ends all work on the request here, because another daemon owns it now."""
+        self.moved = True
+        self.close()
+        self.notify()
+
     def release(self, tokens: int, end: bool) -> None:
         """Allows delivery of the first `tokens` tokens and, if `end`, of the end."""
         self.released = max(self.released, min(tokens, len(self.tokens)))
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from absl import logging
 
 from coltsfoothead.coordination.ledger import commands as ledger_commands
 from coltsfoothead.coordination.membership import directory as directory_module
 from coltsfoothead.coordination.membership import members as members_module
+from coltsfoothead.coordination.membership import task as membership_task
 from coltsfoothead.coordination.transport import links as links_module
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon import readiness as readiness_module
@@ -28,6 +29,7 @@
     admission,
     generation,
     locator,
+    replication,
     requests,
     router,
     unreplicated,
@@ -66,7 +68,7 @@
         client: http_client.Client,
         proposals: proposer.Proposer,
         directory: directory_module.Directory,
-        members: Callable[[], Mapping[str, members_module.Member]],
+        membership: membership_task.Membership,
         readiness: readiness_module.Readiness,
         metrics: metrics_module.Metrics,
         clock: Callable[[], float],
@@ -75,6 +77,7 @@
         own = settings.daemon
         timeouts = settings.timeouts
         self._settings = settings
+        self._membership = membership
         self._readiness = readiness
         self._metrics = metrics
         self._clock = clock
@@ -91,7 +94,19 @@
             clock,
             rng,
         )
-        self.replicator = unreplicated.Unreplicated()
+        if settings.single_node:
+            self.replicator = unreplicated.Unreplicated()
+        else:
+            self.replicator = replication.Replication(
+                replication.Place(own.id, incarnation, settings.guard.required),
+                links,
+                lambda: membership.members,
+                proposals,
+                self.start_generation,
+                self.table,
+                metrics,
+                clock,
+            )
         self.admission = admission.Admission(clock)
         self._context = generation.Context(
             client,
@@ -103,8 +118,10 @@
             rng,
         )
         self._ledger = idempotency.Ledger(LedgerProposals(proposals), own.id, incarnation)
-        self._locator = locator.Locator(own.id, links, members, self.table, metrics)
-        self._once = idempotency.OnceOnly(self._ledger, own.id, self._locator.join)
+        self._locator = locator.Locator(
+            own.id, links, lambda: membership.members, self.table, self.replicator, metrics
+        )
+        self._once = idempotency.OnceOnly(self._ledger, own.id, self._locator.join, self._is_lost)
         self._locator.serve(self._once.wait_settled)
         self._models = models.ModelTraffic(
             readiness.document,
@@ -158,7 +175,11 @@
 
     async def start(self) -> None:
         """Starts the background work."""
-        self._tasks.append(asyncio.get_running_loop().create_task(self._expire()))
+        work = [self._expire()]
+        if isinstance(self.replicator, replication.Replication):
+            changes = self._membership.subscribe()
+            work += [self.replicator.run(), self.replicator.watch(changes)]
+        self._tasks += [asyncio.get_running_loop().create_task(each) for each in work]
 
     async def start_generation(self, request: requests.ModelRequest) -> None:
         """Starts obtaining the answer of a request."""
@@ -166,11 +187,15 @@
         task = asyncio.get_running_loop().create_task(self._generate(running, request))
         self._generations[request.request_id] = task
         self._running[request.request_id] = running
+        request.on_end(lambda: task.cancel() if request.moved else None)
 
     async def drain(self, deadline: float) -> None:
         """Waits until nothing runs, or until it is time to hand over what does."""
         while self.running and self._clock() < deadline - HAND_OVER_SECONDS:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.replicator.hand_over()
+        while self._services.running and self._clock() < deadline:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self._ledger.stop()
 
     async def stop(self) -> None:
@@ -202,6 +227,13 @@
             self._running.pop(request.request_id, None)
             self.table.ended(request)
 
+    def _is_lost(self, member: str, incarnation: int) -> bool:
+        """Returns whether a daemon's incarnation has left, died or been restarted."""
+        known = self._membership.members.get(member)
+        if known is None or known.incarnation > incarnation:
+            return True
+        return known.state > members_module.State.SUSPECT
+
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_SECONDS)
--- a/packages/daemon/src/coltsfoothead/daemon/serving/unreplicated.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/unreplicated.py
@@ -18,5 +18,16 @@
     def forget(self, request: requests.ModelRequest) -> None:
         """Has no copy to drop."""
 
+    def holds_copy(self, request_id: str) -> bool:
+        """Guards nothing."""
+        return False
+
+    def finished_copy(self, request_id: str) -> requests.ModelRequest | None:
+        """Guards nothing."""
+        return None
+
+    async def hand_over(self) -> None:
+        """Has nobody to hand over to."""
+
     async def stop(self) -> None:
         """Has nothing to stop."""
