--- /dev/null
+++ b/packages/kernel/src/coltsfoothead/kernel/outliers/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of upstreams that perform worse than their peers."""
--- /dev/null
+++ b/packages/kernel/src/coltsfoothead/kernel/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing policies and the structures they read."""
