Add admission, retry, hedge and output-length policies

Cause: routing alone neither shares slots fairly nor refuses in time. Change: a weighted fair queue over predicted tokens in front of a concurrency limit; refusal on arrival or while waiting as soon as a deadline cannot be met; an additive-increase limit against a latency target; one retry budget per organisation and one for the fleet, shared with hedges; output lengths from quantile sketches, corrected when a request outlives its prediction. Ruled out: charging a turn when a request is queued (expired and displaced requests would cost an organisation turns); budgets that start filled (amplification could exceed 1.1 for small counts); latencies of whole answers as the limit's input (they depend mostly on length). A first version of the flood test did not end, because the model retried requests past their deadline forever; the model now ends them.

--- /dev/null
+++ b/packages/kernel/src/coltsfoothead/kernel/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: fair queues, concurrency limits and early refusal."""
--- /dev/null
+++ b/packages/kernel/src/coltsfoothead/kernel/prediction/__init__.py
@@ -0,0 +1,1 @@
+"""Prediction of output lengths."""
--- /dev/null
+++ b/packages/kernel/src/coltsfoothead/kernel/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and hedged requests."""
--- a/packages/kernel/src/coltsfoothead/kernel/sketch.py
+++ b/packages/kernel/src/coltsfoothead/kernel/sketch.py
@@ -57,14 +57,3 @@
             if seen >= wanted:
                 break
         return self._smallest * _GROWTH**index if self._total else 0.0
-
-    def quantile_above(self, floor: float, share: float) -> float:
-        """Returns the quantile among the samples above `floor`, or 0 if there are none."""
-        above = [b for b in sorted(self._counts) if self._smallest * _GROWTH**b > floor]
-        wanted = share * sum(self._counts[bucket] for bucket in above)
-        seen = 0.0
-        for bucket in above:
-            seen += self._counts[bucket]
-            if seen >= wanted:
-                return self._smallest * _GROWTH**bucket
-        return 0.0
--- a/packages/kernel/tests/builders.py
+++ b/packages/kernel/tests/builders.py
@@ -132,7 +132,10 @@
         choice = self.policies[job.entry].choose(job.view, state, self.rng)
         if isinstance(choice, views.NoUpstream):
             self.refused[job.view.request_class] += 1
-            self.schedule(self.now + choice.retry_after_seconds, self.place, job)
+            if choice.reason is views.NoUpstreamReason.DEADLINE:
+                self.on_end(job)
+            else:
+                self.schedule(self.now + choice.retry_after_seconds, self.place, job)
             return
         job.upstream = choice.upstream
         sent = observation.Sent(
--- /dev/null
+++ b/packages/kernel/tests/test_limits.py
@@ -0,0 +1,219 @@
+"""Tests of admission, fairness, concurrency limits, retries, hedges and output lengths."""
+
+import collections
+import random
+import unittest
+
+import builders
+import hypothesis
+from hypothesis import strategies
+
+from coltsfoothead.kernel import views
+from coltsfoothead.kernel.limits import admission, concurrency, decisions, fairqueue
+from coltsfoothead.kernel.prediction import outputlength
+from coltsfoothead.kernel.retries import budget, hedge
+from coltsfoothead.kernel.routing import completion
+
+_REASONS = decisions.RefusedReason
+
+
+class FairQueueTest(unittest.TestCase):
+    def test_tokens_are_served_by_weight(self):
+        """Guards against fairness per request, by which long requests take more than a share."""
+        queue = fairqueue.FairQueue({"a": 2.0})
+        for index in range(400):
+            queue.push(fairqueue.Waiting(f"a{index}", "a", 100.0, 1e9))
+            queue.push(fairqueue.Waiting(f"b{index}", "b", 400.0, 1e9))
+        served = collections.Counter()
+        for _ in range(300):
+            taken = queue.pop()
+            served[taken.organisation] += taken.tokens
+        self.assertAlmostEqual(served["a"] / served["b"], 2.0, delta=0.1)
+
+    @hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["offer", "release", "expire", "cancel"]),
+                strategies.integers(0, 9),
+                strategies.floats(0.0, 20.0),
+            ),
+            max_size=60,
+        )
+    )
+    def test_each_request_is_decided_once_and_bounds_hold(self, steps):
+        """Guards against lost, doubly admitted or silently held requests."""
+        settings = admission.AdmissionSettings(3, 5, prior_tokens_per_second=60.0)
+        gate, final, waiting, serial = admission.FairAdmission(2, {}, settings), set(), set(), 0
+        for now, (action, number, patience) in enumerate(steps):
+            answers = ()
+            if action == "offer":
+                serial += 1
+                deadline = now + patience
+                organisation = f"o{number % 3}"
+                offered = builders.request(
+                    str(serial), organisation=organisation, deadline=deadline
+                )
+                answers = gate.offer(offered, now)
+                self.assertEqual(answers[0].request, str(serial))
+            elif action == "release" and final:
+                answers = gate.release(sorted(final)[number % len(final)], now)
+            elif action == "cancel" and waiting:
+                gone = sorted(waiting)[number % len(waiting)]
+                gate.cancel(gone)
+                waiting.discard(gone)
+            else:
+                answers = gate.expire(now)
+            for answer in answers:
+                if isinstance(answer, decisions.Queued):
+                    waiting.add(answer.request)
+                    continue
+                self.assertNotIn(answer.request, final)
+                waiting.discard(answer.request)
+                final.add(answer.request)
+            self.assertLessEqual(gate.inflight, 2)
+            self.assertEqual(gate.queued, len(waiting))
+            self.assertLessEqual(gate.queued, 5)
+
+    def test_refusals_are_immediate_and_name_a_time(self):
+        """Guards against holding a request that has no chance, and against a blind retry."""
+        settings = admission.AdmissionSettings(prior_tokens_per_second=60.0)
+        gate = admission.FairAdmission(1, {}, settings)
+        gate.offer(builders.request("running"), 0.0)
+        queued = gate.offer(builders.request("queued", deadline=3.0), 0.0)[0]
+        self.assertIsInstance(queued, decisions.Queued)
+        refused = gate.offer(builders.request("late", deadline=1.5), 0.0)[0]
+        self.assertEqual(refused.reason, _REASONS.DEADLINE)
+        self.assertGreater(refused.retry_after_seconds, 0.0)
+        hopeless = gate.offer(builders.request("hopeless", deadline=0.5), 0.0)[0]
+        self.assertIsNone(hopeless.retry_after_seconds)
+        self.assertEqual(gate.next_expiry, 2.0)
+        (expired,) = gate.expire(2.0)
+        self.assertEqual((expired.request, expired.reason), ("queued", _REASONS.DEADLINE))
+
+    def test_a_flood_hits_only_the_organisation_that_floods(self):
+        """Guards against one organisation's flood costing others their share (model figures)."""
+        shares = {}
+        for flood in (0, 120):
+            shares[flood] = _share_within_target(flood)
+        self.assertGreaterEqual(shares[120][0], shares[0][0] - 0.02)
+        self.assertGreaterEqual(shares[120][1], 0.95 * shares[0][1])
+
+
+def _share_within_target(flood_rate, seconds=60):
+    """Returns the quiet organisation's share in 5 s, and all answers within target per second."""
+    model = builders.Model([completion.CompletionRouter()])
+    gate = admission.FairAdmission(72)
+    jobs = builders.arrivals(random.Random(1), seconds, 12, organisation="quiet")
+    quiet = len(jobs)
+    jobs += builders.arrivals(random.Random(2), seconds, 30 + flood_rate, organisation="loud")
+    jobs = [_with_deadline(job) for job in jobs]
+    by_name = {job.view.request: job for job in jobs}
+    good = collections.Counter()
+
+    def apply(answers):
+        for answer in answers:
+            if isinstance(answer, decisions.Admitted):
+                model.place(by_name[answer.request])
+
+    def ended(job):
+        on_time = job.produced >= job.tokens and model.now <= job.view.deadline
+        good[job.view.organisation] += on_time
+        apply(gate.release(job.view.request, model.now))
+
+    model.on_end = ended
+    model.run(jobs, lambda job: apply(gate.offer(job.view, model.now)))
+    return good["quiet"] / quiet, good.total() / seconds
+
+
+def _with_deadline(job):
+    view = builders.request(
+        job.view.request, organisation=job.view.organisation, deadline=job.sent_at + 5.0
+    )
+    return builders.Job(view, job.tokens, job.sent_at)
+
+
+class ConcurrencyTest(unittest.TestCase):
+    def test_the_limit_settles_near_the_capacity(self):
+        """Guards against a limit that stays too high, collapses, or rises while unused."""
+        limit = concurrency.ConcurrencyLimit()
+        settled = []
+        for step in range(20_000):
+            inflight = limit.limit
+            limit.sample(0.01 * inflight, 1.0, inflight, step * 0.02)
+            settled.append(limit.limit)
+        self.assertTrue(all(85 <= value <= 106 for value in settled[5_000:]))
+        unused = concurrency.ConcurrencyLimit()
+        for step in range(1_000):
+            unused.sample(0.01, 1.0, 3, step * 0.02)
+        self.assertEqual(unused.limit, 32)
+
+
+class RetryTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=40, deadline=None)
+    @hypothesis.given(strategies.lists(strategies.integers(0, 3), max_size=300))
+    def test_amplification_stays_within_a_tenth(self, organisations):
+        """Guards against retry storms when every attempt fails."""
+        shared = budget.RetryBudget()
+        policy, retries, rng = budget.RetryPolicy(shared), 0, random.Random(1)
+        for number in organisations:
+            shared.request(f"o{number}")
+            for attempt in (1, 2):
+                answer = policy.decide(f"o{number}", attempt, True, False, 10.0, rng)
+                retries += isinstance(answer, budget.Retry)
+        self.assertLessEqual(10 * retries, len(organisations))
+
+    def test_only_what_may_be_repeated_is_repeated(self):
+        """Guards against running a deposit twice by a retry or a hedge."""
+        shared, rng = budget.RetryBudget(), random.Random(1)
+        for _ in range(100):
+            shared.request("o")
+        policy, hedges = budget.RetryPolicy(shared), hedge.HedgePolicy(shared)
+        may_have_run = policy.decide("o", 1, False, False, 10.0, rng)
+        self.assertEqual(may_have_run.reason, budget.GiveUpReason.NOT_REPEATABLE)
+        self.assertIsInstance(policy.decide("o", 1, False, True, 10.0, rng), budget.Retry)
+        refused = hedges.plan("m", False, 10.0)
+        self.assertEqual(refused.reason, hedge.NoHedgeReason.NOT_REPEATABLE)
+
+    def test_a_hedge_waits_for_p95_and_the_first_answer_wins(self):
+        """Guards against hedging most requests, and against mixing two answers."""
+        shared = budget.RetryBudget()
+        policy, race = hedge.HedgePolicy(shared), hedge.HedgeRace()
+        for index in range(100):
+            policy.observe("m", 0.1 if index < 90 else 1.0)
+        self.assertAlmostEqual(policy.plan("m", True, 9.0).delay_seconds, 1.0, delta=0.15)
+        self.assertEqual(policy.fire("o", race).reason, hedge.NoHedgeReason.BUDGET)
+        for _ in range(10):
+            shared.request("o")
+        self.assertEqual(policy.fire("o", race), hedge.Fire(2))
+        self.assertEqual(race.answered(2), hedge.Winner(2, (1,)))
+        self.assertEqual(race.answered(1), hedge.Late(1))
+        self.assertIsNone(race.answered(2))
+
+
+class OutputLengthTest(unittest.TestCase):
+    def test_lengths_are_learnt_and_corrected(self):
+        """Guards against a long request that keeps counting as short."""
+        predictor, rng = outputlength.OutputLengthPredictor(), random.Random(1)
+        first = predictor.predict("o", "m", 100, 8_192)
+        for _ in range(400):
+            length = 3_000 if rng.random() < 0.1 else 50
+            predictor.observe(first, length)
+        learnt = predictor.predict("o", "m", 100, 8_192)
+        self.assertAlmostEqual(learnt.tokens, 50, delta=8)
+        self.assertIs(learnt.request_class, views.RequestClass.SHORT)
+        self.assertIs(predictor.correct(learnt, 20), learnt)
+        outlived = predictor.correct(learnt, 70)
+        self.assertAlmostEqual(outlived.tokens, 3_000, delta=450)
+        self.assertIs(outlived.request_class, views.RequestClass.LONG)
+        self.assertEqual(predictor.correct(outlived, 5_000).tokens, 8_192)
+        other = predictor.predict("other", "m", 3_000, 100)
+        self.assertLessEqual(other.tokens, 100)
+
+    def test_memory_is_bounded(self):
+        """Guards against a sketch for every organisation and length ever seen."""
+        settings = outputlength.OutputLengthSettings(max_sketches=20)
+        predictor = outputlength.OutputLengthPredictor(settings)
+        for index in range(200):
+            predictor.observe(predictor.predict(f"o{index}", "m", index, 10), 5)
+        self.assertLessEqual(len(predictor._sketches), 20)
