--- /dev/null
+++ b/packages/kernel/src/coltsfoothead/kernel/slo/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level objectives."""
