Allow for longer service when admission checks a deadline

Cause: under overload requests were admitted at their last moment by the mean service time, so many of the longer ones ended too late. Change: the expected service time is multiplied by service_safety, 1.5.

--- a/packages/kernel/src/coltsfoothead/kernel/limits/admission.py
+++ b/packages/kernel/src/coltsfoothead/kernel/limits/admission.py
@@ -15,11 +15,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissionSettings:
-    """Bounds of the queue and the service rate assumed before any request has ended."""
+    """Bounds of the queue and the service rate assumed before any request has ended.
+
+    Parameters
+    ----------
+    service_safety : float
+        Factor on the expected service time of a request. Predicted lengths are means, and under
+        overload a request is admitted just before its last moment; with a factor of 1 many of
+        them end too late.
+    """
 
     queued_per_organisation: int = 256
     queued_in_all: int = 1_024
     prior_tokens_per_second: float = 30.0
+    service_safety: float = 1.5
 
 
 @registry.register("limit", "fair")
@@ -72,7 +81,8 @@
         tokens = request.predicted_tokens
         if name in self._running:
             return (decisions.Admitted(name), *others)
-        service, left = tokens / self._slot_rate(), request.deadline - now
+        service = self._settings.service_safety * tokens / self._slot_rate()
+        left = request.deadline - now
         if service > left:
             late = decisions.RefusedReason.DEADLINE
             return (decisions.Refused(name, late, None), *others)
