Name the registered policies in the environment's defaults and let the demo wait for its balancer

Cause: the schema's default names were written before the policies registered themselves, and the demo sent its first request before the balancer had polled a backend. Change: defaults are the registered names; the demo waits for all backends.

--- a/packages/kernel/src/coltsfoothead/kernel/environment.py
+++ b/packages/kernel/src/coltsfoothead/kernel/environment.py
@@ -83,11 +83,11 @@
     routing: str = "completion"
     limit: str = "fair"
     retry: str = "budget"
-    hedge: str = "delayed"
-    prediction: str = "quantile"
-    outlier: str = "relative"
-    capacity: str = "cheapest"
-    reclaim: str = "fewest-tokens"
+    hedge: str = "p95"
+    prediction: str = "outputlength"
+    outlier: str = "deviation"
+    capacity: str = "cheapestmix"
+    reclaim: str = "leasttokens"
 
 
 class Budget(_Table):
--- a/packages/testsupport/src/coltsfoothead/testsupport/demo.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/demo.py
@@ -92,6 +92,9 @@
         installation = await start(children)
         entry = balancer.Balancer(installation.callers)
         async with entry:
+            await harness.wait_until(
+                lambda: len(entry.ready) == len(installation.places), RESUME_SECONDS, "balancer"
+            )
             front = caller.Caller([entry.traffic_address], cluster.api_key("kiosk"))
             await serve(front)
             record, killed = await kill_mid_stream(installation, front)
