Number the guards of a request and split the detector's effects

Change: copies and appends carry a guard number that grows with each change of the guard; the answers repeat it and the owner ignores others. Outgoing, Change and Effects are in membership.effects. Ruled out: comparing the guard's incarnation alone, which misses a guard that comes back without a restart. Trial: the extended test of the change of guard fails without the comparison. Conclusion: only answers to the current guard's own copy release chunks.

--- a/packages/coordination/src/coltsfoothead/coordination/guard/guardian.py
+++ b/packages/coordination/src/coltsfoothead/coordination/guard/guardian.py
@@ -66,22 +66,24 @@
     def receive(self, sender, message, now):
         """Handles a copy or an append and returns the answer to its sender."""
         self._expire(now)
-        request_id, epoch = message.request_id, message.epoch
+        request_id, epoch, number = message.request_id, message.epoch, message.guard_number
         held = self._held.get(request_id)
         known = held.first.epoch if held is not None else 0
         fence = self._fences.get(request_id, (0, 0.0))[0]
         if epoch < max(known, fence):
-            return messages.Refuse(request_id, epoch, "superseded")
+            return messages.Refuse(request_id, epoch, "superseded", number)
         match message:
             case messages.Copy() if message.guard_incarnation != self._incarnation:
-                return messages.Refuse(request_id, epoch, "restarted")
+                return messages.Refuse(request_id, epoch, "restarted", number)
             case messages.Copy():
                 held = self._keep(sender, message, held, now)
             case messages.Append() if held is None or known != epoch:
-                return messages.Refuse(request_id, epoch, "unknown")
+                return messages.Refuse(request_id, epoch, "unknown", number)
             case messages.Append():
                 self._extend(held, message, now)
-        return messages.Acknowledge(request_id, epoch, len(held.chunks), held.result is not None)
+        return messages.Acknowledge(
+            request_id, epoch, len(held.chunks), held.result is not None, number
+        )
 
     def take_over(self, request_id, epoch, now):
         """Fences all lower epochs and returns the copy, for an `owner.OwnerRequest`.
--- a/packages/coordination/src/coltsfoothead/coordination/guard/messages.py
+++ b/packages/coordination/src/coltsfoothead/coordination/guard/messages.py
@@ -43,6 +43,8 @@
         How the answer ended; None while it runs.
     guard_incarnation : int
         Process start of the guard that the copy is meant for.
+    guard_number : int
+        Grows with every change of the guard within the epoch; answers repeat it.
     """
 
     request_id: str
@@ -52,6 +54,7 @@
     chunks: tuple[Chunk, ...]
     result: bytes | None
     guard_incarnation: int
+    guard_number: int
 
 
 class Append(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -63,6 +66,7 @@
     offset: int
     chunks: tuple[Chunk, ...]
     result: bytes | None
+    guard_number: int
 
 
 class Acknowledge(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -72,6 +76,7 @@
     epoch: int
     offset: int
     finished: bool
+    guard_number: int
 
 
 class Refuse(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -80,6 +85,7 @@
     request_id: str
     epoch: int
     reason: Literal["superseded", "restarted", "unknown"]
+    guard_number: int
 
 
 Message = Copy | Append | Acknowledge | Refuse
--- a/packages/coordination/src/coltsfoothead/coordination/guard/owner.py
+++ b/packages/coordination/src/coltsfoothead/coordination/guard/owner.py
@@ -58,6 +58,7 @@
         self._chunks = list(held.chunks) if held else []
         self._result = held.result if held else None
         self._refusal = None
+        self._guard_number = 1
         self._reset_guard()
 
     @property
@@ -132,6 +133,7 @@
         Nothing is delivered until the new guard has acknowledged the copy.
         """
         self._guard = guard
+        self._guard_number += 1
         if self._refusal != "superseded":
             self._refusal = None
         self._reset_guard()
@@ -152,7 +154,13 @@
         else:
             chunks = tuple(self._chunks[self._sent :])
             message = messages.Append(
-                self.request_id, self.epoch, self._attempt, self._sent, chunks, self._result
+                self.request_id,
+                self.epoch,
+                self._attempt,
+                self._sent,
+                chunks,
+                self._result,
+                self._guard_number,
             )
         self._sent = len(self._chunks)
         self._sent_result = self._result is not None
@@ -163,14 +171,17 @@
         """Takes an acknowledgement or refusal; one of another guard or epoch is ignored."""
         if self._guard is None or sender != self._guard.member_id or message.epoch != self.epoch:
             return
+        if message.guard_number != self._guard_number:
+            # The same member can become the guard again, after a restart or another guard.
+            return
         match message:
-            case messages.Acknowledge(_, _, offset, finished):
+            case messages.Acknowledge(_, _, offset, finished, _):
                 self._copied = True
                 self._acknowledged = max(self._acknowledged, offset)
                 self._finished = self._finished or finished
                 if self._acknowledged == self._sent and self._finished == self._sent_result:
                     self._resend_at = math.inf
-            case messages.Refuse(_, _, reason):
+            case messages.Refuse(_, _, reason, _):
                 # Before the first acknowledgement an append cannot have been sent, so "unknown"
                 # means that the guard lost the copy.
                 self._refusal = reason
@@ -196,4 +207,5 @@
             tuple(self._chunks),
             self._result,
             self._guard.incarnation,
+            self._guard_number,
         )
--- a/packages/coordination/src/coltsfoothead/coordination/membership/swim.py
+++ b/packages/coordination/src/coltsfoothead/coordination/membership/swim.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from coltsfoothead.coordination.membership import gossip, members
+from coltsfoothead.coordination.membership import effects, gossip, members
 
-__all__ = ["Change", "Detector", "Effects", "Outgoing", "Settings"]
+__all__ = ["Detector", "Settings"]
 
 _NEVER = math.inf
 
@@ -42,45 +42,6 @@
     leave_fanout: int = 10
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outgoing:
-    """Message to send; `to` is None when only the address is known."""
-
-    to: str | None
-    address: str
-    message: members.Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """New record of a member; `before` is its former state, None for a new member."""
-
-    member: members.Member
-    before: members.State | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Effects:
-    """What the caller must do.
-
-    Attributes
-    ----------
-    messages : tuple of Outgoing
-        To be sent; loss is tolerated.
-    changes : tuple of Change
-        To be published.
-    wake_at : float
-        When `Detector.tick` is due.
-    superseded : bool
-        Another process runs under this member's ID with a higher incarnation.
-    """
-
-    messages: tuple[Outgoing, ...]
-    changes: tuple[Change, ...]
-    wake_at: float
-    superseded: bool
-
-
 @dataclasses.dataclass(slots=True)
 class _Probe:
     """Ping that waits for its ack, or one made for another member (`requester`)."""
@@ -219,12 +180,12 @@
 
     def _effects(self):
         self._planned = self._wake_at()
-        effects = Effects(
+        result = effects.Effects(
             tuple(self._messages), tuple(self._changes), self._planned, self._superseded
         )
         self._messages = []
         self._changes = []
-        return effects
+        return result
 
     def _wake_at(self):
         if self._me.state is members.State.LEFT:
@@ -285,7 +246,7 @@
             self._send_to_seeds(members.Join(self._me))
 
     def _send_to_seeds(self, message):
-        self._messages += [Outgoing(None, seed, message) for seed in self._seeds]
+        self._messages += [effects.Outgoing(None, seed, message) for seed in self._seeds]
 
     def _ping(self, target, now, requester=None, requester_sequence=0):
         if target not in self._members or target == self._me.id:
@@ -341,7 +302,7 @@
         self._members[record.id] = record
         self._follow(record, known, now)
         if known is None or _visible(known) != _visible(record):
-            self._changes.append(Change(record, None if known is None else known.state))
+            self._changes.append(effects.Change(record, None if known is None else known.state))
         if spread:
             self._gossip.add(record)
 
@@ -395,7 +356,7 @@
     def _send(self, target, message, address=""):
         if target in self._members:
             address = self._members[target].address
-        self._messages.append(Outgoing(target, address, message))
+        self._messages.append(effects.Outgoing(target, address, message))
 
     def _all_states(self, wants_answer):
         return members.States(tuple(self._members.values()), wants_answer)
--- a/packages/coordination/src/coltsfoothead/coordination/membership/task.py
+++ b/packages/coordination/src/coltsfoothead/coordination/membership/task.py
@@ -80,7 +80,7 @@
         self._apply(self._detector.leave(self._clock()))
 
     def subscribe(self):
-        """Returns a queue that gets every later `swim.Change`."""
+        """Returns a queue that gets every later `effects.Change`."""
         queue = asyncio.Queue()
         self._subscribers.append(queue)
         return queue
--- a/packages/coordination/tests/test_guard.py
+++ b/packages/coordination/tests/test_guard.py
@@ -177,6 +177,9 @@
         request.change_guard(owner.Guard("h", 1))
         request.receive("g", acknowledge)
         self.assertEqual(request.deliverable(0), [])
+        request.change_guard(owner.Guard("g", 2))
+        request.receive("g", acknowledge)
+        self.assertEqual((request.accepted, request.deliverable(0)), (False, []))
         alone = owner.OwnerRequest("r", 1, b"d", None)
         alone.append(alone.start_attempt(), messages.Chunk(b"x", 1))
         self.assertEqual((alone.accepted, len(alone.deliverable(0))), (True, 1))
@@ -187,7 +190,7 @@
 
         def finish(name, now):
             chunk = messages.Chunk(bytes(40), 1)
-            guard.receive("a", messages.Copy(name, 1, 1, b"", (chunk,), b"stop", 1), now)
+            guard.receive("a", messages.Copy(name, 1, 1, b"", (chunk,), b"stop", 1, 1), now)
 
         for number in range(4):
             finish(f"r{number}", float(number))
@@ -202,7 +205,7 @@
         queue = batcher.Batcher(interval_seconds=1 / 64)
         sent = []
         for step in range(100):
-            queue.add("g", messages.Acknowledge("r", 1, step, False))
+            queue.add("g", messages.Acknowledge("r", 1, step, False, 1))
             sent += queue.due(step / 1024)
         self.assertEqual(len(sent), 7)
         self.assertEqual(queue.wake_at, 112 / 1024)
