--- a/packages/coordination/src/coltsfoothead/coordination/guard/owner.py
+++ b/packages/coordination/src/coltsfoothead/coordination/guard/owner.py
@@ -58,6 +58,7 @@
         self._chunks = list(held.chunks) if held else []
         self._result = held.result if held else None
         self._refusal = None
+        self._guard_number = 1
         self._reset_guard()
 
     @property
@@ -70,27 +71,6 @@
         """Tokens that the next attempt need not compute again."""
         return sum(chunk.tokens for chunk in self._chunks)
 
-    @property
-    def length(self):
-        """Number of chunks so far."""
-        return len(self._chunks)
-
-    @property
-    def ended(self):
-        """Whether the answer has ended here, acknowledged or not."""
-        return self._result is not None
-
-    @property
-    def acknowledged(self):
-        """Number of chunks that may go to a caller."""
-        return len(self._chunks) if self._guard is None else self._acknowledged
-
-    @property
-    def settled(self):
-        """Whether the guard has acknowledged everything."""
-        whole = self._acknowledged == len(self._chunks) and self._finished == self.ended
-        return self._guard is None or (self._copied and whole)
-
     @property
     def accepted(self):
         """Whether the guard holds a copy, so that the caller may get the headers."""
@@ -144,17 +124,16 @@
         Those already acknowledged stay deliverable after a refusal: the guard that took over
         holds them too.
         """
-        return self._chunks[offset : self.acknowledged]
+        end = len(self._chunks) if self._guard is None else self._acknowledged
+        return self._chunks[offset:end]
 
-    def change_guard(self, guard, description=None):
+    def change_guard(self, guard):
         """Moves to another guard after `Replace` was committed; the whole state is copied.
 
-        Nothing more is delivered until the new guard has acknowledged the copy. A `description`
-        replaces the former one.
+        Nothing is delivered until the new guard has acknowledged the copy.
         """
         self._guard = guard
-        if description is not None:
-            self._description = description
+        self._guard_number += 1
         if self._refusal != "superseded":
             self._refusal = None
         self._reset_guard()
@@ -175,7 +154,13 @@
         else:
             chunks = tuple(self._chunks[self._sent :])
             message = messages.Append(
-                self.request_id, self.epoch, self._attempt, self._sent, chunks, self._result
+                self.request_id,
+                self.epoch,
+                self._attempt,
+                self._sent,
+                chunks,
+                self._result,
+                self._guard_number,
             )
         self._sent = len(self._chunks)
         self._sent_result = self._result is not None
@@ -186,14 +171,17 @@
         """Takes an acknowledgement or refusal; one of another guard or epoch is ignored."""
         if self._guard is None or sender != self._guard.member_id or message.epoch != self.epoch:
             return
+        if message.guard_number != self._guard_number:
+            # The same member can become the guard again, after a restart or another guard.
+            return
         match message:
-            case messages.Acknowledge(_, _, offset, finished):
+            case messages.Acknowledge(_, _, offset, finished, _):
                 self._copied = True
                 self._acknowledged = max(self._acknowledged, offset)
                 self._finished = self._finished or finished
                 if self._acknowledged == self._sent and self._finished == self._sent_result:
                     self._resend_at = math.inf
-            case messages.Refuse(_, _, reason):
+            case messages.Refuse(_, _, reason, _):
                 # Before the first acknowledgement an append cannot have been sent, so "unknown"
                 # means that the guard lost the copy.
                 self._refusal = reason
@@ -219,4 +207,5 @@
             tuple(self._chunks),
             self._result,
             self._guard.incarnation,
+            self._guard_number,
         )
