--- a/packages/coordination/src/coltsfoothead/coordination/guard/owner.py
+++ b/packages/coordination/src/coltsfoothead/coordination/guard/owner.py
@@ -71,6 +71,27 @@
         """Tokens that the next attempt need not compute again."""
         return sum(chunk.tokens for chunk in self._chunks)
 
+    @property
+    def length(self):
+        """Number of chunks so far."""
+        return len(self._chunks)
+
+    @property
+    def ended(self):
+        """Whether the answer has ended here, acknowledged or not."""
+        return self._result is not None
+
+    @property
+    def acknowledged(self):
+        """Number of chunks that may go to a caller."""
+        return len(self._chunks) if self._guard is None else self._acknowledged
+
+    @property
+    def settled(self):
+        """Whether the guard has acknowledged everything."""
+        whole = self._acknowledged == len(self._chunks) and self._finished == self.ended
+        return self._guard is None or (self._copied and whole)
+
     @property
     def accepted(self):
         """Whether the guard holds a copy, so that the caller may get the headers."""
@@ -124,15 +145,17 @@
         Those already acknowledged stay deliverable after a refusal: the guard that took over
         holds them too.
         """
-        end = len(self._chunks) if self._guard is None else self._acknowledged
-        return self._chunks[offset:end]
+        return self._chunks[offset : self.acknowledged]
 
-    def change_guard(self, guard):
+    def change_guard(self, guard, description=None):
         """Moves to another guard after `Replace` was committed; the whole state is copied.
 
-        Nothing is delivered until the new guard has acknowledged the copy.
+        Nothing more is delivered until the new guard has acknowledged the copy. A `description`
+        replaces the former one.
         """
         self._guard = guard
+        if description is not None:
+            self._description = description
         self._guard_number += 1
         if self._refusal != "superseded":
             self._refusal = None
--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -17,7 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PARALLEL_MODULES = 4
-MODULE_TIMEOUT_SECONDS = 600
+MODULE_TIMEOUT_SECONDS = 240
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
