Measure the relay at any token gap

Cause: at 34 ms gaps, the real pacing, every token is a read of its own, and the tool measured only 2 ms gaps. Ruled out: nothing.

--- a/tools/measure_relay.py
+++ b/tools/measure_relay.py
@@ -64,7 +64,12 @@
         installation = cluster.Cluster(children, [place])
         await installation.start_daemons()
         engine = await installation.start_engine(
-            "e1", "home-a", "--gap-seconds", "0.002", "--slots", str(options.streams)
+            "e1",
+            "home-a",
+            "--gap-seconds",
+            str(options.gap_seconds),
+            "--slots",
+            str(options.streams),
         )
         service = await installation.start_service("s1", "home-a")
         await installation.apply("d1", cluster.document(), "c1")
@@ -84,6 +89,7 @@
         calls_direct = await service_calls(service.address, False, options.calls, 8)
         return {
             "streams": options.streams,
+            "gap_seconds": options.gap_seconds,
             "tokens": tokens,
             "daemon_us_per_token": round(per_token * 1e6, 1),
             "seconds_through": round(through, 2),
@@ -102,6 +108,9 @@
     parser.add_argument("--streams", type=int, default=32)
     parser.add_argument("--tokens", type=int, default=500)
     parser.add_argument("--calls", type=int, default=2000)
+    parser.add_argument(
+        "--gap-seconds", type=float, default=0.002, help="time between the tokens of a stream"
+    )
     print(json.dumps(asyncio.run(measure(parser.parse_args())), indent=2))
 
 
