Use the policies: fair admission, predictions, outlier weights, retry budgets, reclaim moves, burn

Cause: the daemon limited only the concurrency per organisation, and routed without predictions. Change: fair queueing per model with an adaptive limit and early refusal; predicted lengths decide class and priority; outlier weights a few times a second; further attempts after bytes were sent are charged to the retry budgets; streams of a leaving upstream finish or move before the notice ends; the burn report counts requests within target. Ruled out: refusing on predicted service time alone, since a slow spell would then refuse every request and never learn that it is over.

--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -216,6 +216,7 @@
             self._clock,
             self._rng,
         )
+        self._directory.on_change(self._traffic.leaving.changed)
         await self._traffic.start()
 
     async def _start_listeners(self) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/callers/models.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/models.py
@@ -39,9 +39,12 @@
     """Limits per organisation."""
 
     async def admit(
-        self, organisation: environment.Organisation, body: chat.ChatBody, deadline: float
-    ) -> Callable[[], None]:
-        """Returns the function that ends the admission; raises `RefusedError`."""
+        self, organisation: environment.Organisation, request: requests.ModelRequest
+    ) -> None:
+        """Returns once the request may run; raises `RefusedError`."""
+
+    def count_request(self, organisation: str) -> None:
+        """Counts a first attempt."""
 
 
 class Locator(Protocol):
@@ -114,9 +117,9 @@
         key = exchange.request.header("idempotency-key")
         offset = _offset(exchange.request)
         if key is None:
-            request = await self._accept(organisation, body, fields, uuid.uuid4().hex)
+            request = await self._accept(organisation, fields, uuid.uuid4().hex)
         else:
-            found = await self._once_only(exchange.request, organisation, body, fields, key)
+            found = await self._once_only(exchange.request, organisation, fields, key)
             if isinstance(found, str):
                 await self._deliver_known(exchange, found, organisation.name, offset)
                 return
@@ -148,7 +151,6 @@
         self,
         request: message.Request,
         organisation: environment.Organisation,
-        body: chat.ChatBody,
         fields: dict[str, object],
         value: str,
     ) -> requests.ModelRequest | str:
@@ -159,7 +161,7 @@
         if isinstance(found, commands.Answer):
             return found.body.decode()
         try:
-            accepted = await self._accept(organisation, body, fields, found.request_id)
+            accepted = await self._accept(organisation, fields, found.request_id)
         except refusals.RefusedError as error:
             await self._withdraw(found, error.refusal)
             raise
@@ -183,16 +185,16 @@
     async def _accept(
         self,
         organisation: environment.Organisation,
-        body: chat.ChatBody,
         fields: dict[str, object],
         request_id: str,
     ) -> requests.ModelRequest:
         deadline = self._clock() + self._times.request_seconds
-        finish_admission = await self._admission.admit(organisation, body, deadline)
         request = requests.ModelRequest(
             request_id, organisation.name, fields, int(time.time()), deadline
         )
-        request.on_end(finish_admission)
+        request.started_at = self._clock()
+        await self._admission.admit(organisation, request)
+        self._admission.count_request(organisation.name)
         self._table.add(request)
         try:
             await self._replicator.open(request)
--- a/packages/daemon/src/coltsfoothead/daemon/callers/services.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/services.py
@@ -121,11 +121,13 @@
         """
         excluded: frozenset[str] = frozenset()
         failure: errors.HttpError | None = None
-        for attempt in range(MAX_ATTEMPTS):
+        for _ in range(MAX_ATTEMPTS):
             target = self._router.choose_service(call.service.name, excluded)
             if target is None:
                 break
-            if attempt and not self._may_retry(call.organisation):
+            # Nothing was sent on a connection that did not open, so trying elsewhere is no retry.
+            sent_before = isinstance(failure, errors.UpstreamBrokeError)
+            if sent_before and not self._may_retry(call.organisation):
                 break
             try:
                 return await self._attempt(call, *target)
--- a/packages/daemon/src/coltsfoothead/daemon/callers/servicetraffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/servicetraffic.py
@@ -28,6 +28,8 @@
     metrics : Metrics
     record : callable
         Takes organisation, seconds and whether the call was answered, for the service level.
+    count_request : callable
+        Takes the organisation of a first attempt, which earns a part of a retry.
     clock : callable
         Monotonic seconds.
     """
@@ -40,6 +42,7 @@
         ledger: idempotency.Ledger,
         metrics: metrics_module.Metrics,
         record: Callable[[str, float, bool], None],
+        count_request: Callable[[str], None],
         clock: Callable[[], float],
     ) -> None:
         self._document = document
@@ -48,6 +51,7 @@
         self._ledger = ledger
         self._metrics = metrics
         self._record = record
+        self._count_request = count_request
         self._clock = clock
         self._running = 0
 
@@ -75,6 +79,7 @@
 
     async def _response(self, call: services.Call) -> message.Response:
         self._metrics.count("service_calls")
+        self._count_request(call.organisation)
         if call.key is None:
             return await self._calls.send(call)
         key = keys.Key(call.organisation, call.service.name, call.key)
--- a/packages/daemon/src/coltsfoothead/daemon/operators/state.py
+++ b/packages/daemon/src/coltsfoothead/daemon/operators/state.py
@@ -194,7 +194,7 @@
 
     def slo(self) -> operations.SloAnswer:
         """Returns the service level of each organisation."""
-        return self.traffic.admission.service_levels(self.readiness.latest())
+        return self.traffic.service_level.report()
 
     def voters(self) -> tuple[operations.VoterEntry, ...]:
         """Returns the voters of the control log."""
@@ -242,6 +242,7 @@
             running=load.running if load else 0,
             waiting=load.waiting if load else 0,
             renewal_age_seconds=round(self._directory.age(record.upstream, self._clock()), 3),
+            weight=round(self.traffic.router.weight(record.upstream), 3),
             in_flight=self.traffic.router.in_flight(record.upstream),
         )
 
--- a/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
@@ -59,6 +59,7 @@
     silence_seconds: float
     clock: Callable[[], float]
     rng: random.Random
+    first_token: Callable[[requests.ModelRequest], None] = lambda request: None
 
 
 class Generation:
@@ -158,6 +159,9 @@
                 added = request.append(attempt, offset, texts)
                 if added:
                     self._failures = 0
+                    if request.first_token_at is None:
+                        request.first_token_at = self._context.clock()
+                        self._context.first_token(request)
                     self._context.router.tokens(request, target, added)
                     self._context.changed(request)
             case engine.Started():
--- a/packages/daemon/src/coltsfoothead/daemon/serving/requests.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/requests.py
@@ -58,6 +58,8 @@
         self.tokens: list[str] = []
         self.released = 0
         self.end: Completion | refusals.Refusal | None = None
+        self.started_at: float | None = None
+        self.first_token_at: float | None = None
         self.ended_at: float | None = None
         self.moved = False
         self._end_released = False
--- a/packages/daemon/src/coltsfoothead/daemon/serving/router.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/router.py
@@ -8,16 +8,15 @@
 
 from coltsfoothead.coordination.membership import directory as directory_module
 from coltsfoothead.coordination.membership import upstreams
-from coltsfoothead.daemon.serving import generation, requests
+from coltsfoothead.daemon.serving import generation, prediction, requests
 from coltsfoothead.kernel import environment, observation, registry, views
 from coltsfoothead.kernel.routing import subset
 
 __all__ = ["FleetRouter", "Place"]
 
-# Rough length of a token in characters; only relative sizes matter to the policies.
-CHARACTERS_PER_TOKEN = 4
-SHORT_TOKENS = 128
-DEFAULT_PREDICTED_TOKENS = 128
+ASSESS_SECONDS = 0.2
+# One way between regions; it keeps work near while both sides are equally loaded.
+REGION_LINK_SECONDS = 0.012
 PRIORITIES = {views.RequestClass.SHORT: 0, views.RequestClass.LONG: 10}
 
 
@@ -63,6 +62,7 @@
     document : callable
         Returns the environment document, or None.
     place : Place
+    predictor : Predictor
     clock : callable
     rng : random.Random
     """
@@ -72,17 +72,21 @@
         directory: directory_module.Directory,
         document: Callable[[], environment.Environment | None],
         place: Place,
+        predictor: prediction.Predictor,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._directory = directory
         self._document = document
         self._place = place
+        self._predictor = predictor
         self._clock = clock
         self._rng = rng
         self._observer = observation.Observer()
         self._policies: dict[str, object] = {}
-        self._classes: dict[str, views.RequestClass] = {}
+        self._detectors: dict[tuple[str, str, str], object] = {}
+        self._weights: dict[str, float] = {}
+        self._assess_at = 0.0
         self._service_calls: collections.Counter[str] = collections.Counter()
         self._subset: tuple[frozenset[str], tuple[str, ...]] = (frozenset(), ())
 
@@ -91,6 +95,14 @@
         figures = self._observer.figures(upstream, self._clock())
         return figures.inflight + self._service_calls[upstream]
 
+    def figures(self, upstream: str) -> views.Figures:
+        """Returns what this daemon observed of an upstream."""
+        return self._observer.figures(upstream, self._clock())
+
+    def weight(self, upstream: str) -> float:
+        """Returns the weight that outlier detection gives an upstream."""
+        return self._weights.get(upstream, 1.0)
+
     def choose(
         self, request: requests.ModelRequest, excluded: frozenset[str]
     ) -> generation.Target | None:
@@ -103,6 +115,7 @@
             if record.kind == "model" and _serves(record, request.model, document)
         }
         candidates = self._candidates(records)
+        self._assess(records, candidates, document, now)
         view = self._request_view(request, excluded)
         snapshot = views.RoutingSnapshot(
             now=now,
@@ -113,7 +126,6 @@
         decision = policy.choose(view, snapshot, self._rng)
         if isinstance(decision, views.NoUpstream):
             return None
-        self._classes[request.request_id] = view.request_class
         address = records[decision.upstream].address
         return generation.Target(decision.upstream, address, PRIORITIES[view.request_class])
 
@@ -124,7 +136,7 @@
             _stream(request),
             target.upstream,
             view.prompt_tokens + len(request.tokens),
-            max(1.0, view.predicted_tokens - len(request.tokens)),
+            self._predictor.remaining(request),
             view.request_class,
             self._clock(),
         )
@@ -140,8 +152,6 @@
         """The attempt ended."""
         kind = observation.Failed if failed else observation.Finished
         self._observer.observe(kind(_stream(request), self._clock()))
-        if request.end is not None:
-            self._classes.pop(request.request_id, None)
 
     def choose_service(self, service: str, excluded: frozenset[str]) -> tuple[str, str] | None:
         """Returns ID and address of an upstream for a service call, or None."""
@@ -186,6 +196,29 @@
             self._subset = (names, chosen)
         return self._subset[1]
 
+    def _assess(
+        self,
+        records: Mapping[str, upstreams.Upstream],
+        candidates: tuple[str, ...],
+        document: environment.Environment | None,
+        now: float,
+    ) -> None:
+        """Compares the candidates with their peers, a few times a second."""
+        if now < self._assess_at:
+            return
+        self._assess_at = now + ASSESS_SECONDS
+        name = document.policies.outlier if document else "deviation"
+        groups: dict[tuple[str, str, str], dict[str, views.Figures]] = {}
+        for upstream in candidates:
+            record = records[upstream]
+            model = record.models[0].name if record.models else ""
+            group = groups.setdefault((name, model, record.vm_class), {})
+            group[upstream] = self._observer.figures(upstream, now)
+        for key, figures in groups.items():
+            if key not in self._detectors:
+                self._detectors[key] = registry.resolve("outlier", name)()
+            self._weights.update(self._detectors[key].assess(figures, now))
+
     def _policy(self, name: str) -> object:
         if name not in self._policies:
             self._policies[name] = registry.resolve("routing", name)()
@@ -194,15 +227,14 @@
     def _request_view(
         self, request: requests.ModelRequest, excluded: frozenset[str]
     ) -> views.RequestView:
-        predicted = _stated_tokens(request.body) or DEFAULT_PREDICTED_TOKENS
-        kind = views.RequestClass.SHORT if predicted <= SHORT_TOKENS else views.RequestClass.LONG
+        predicted = self._predictor.of(request)
         return views.RequestView(
             request=request.request_id,
             organisation=request.organisation,
             model=request.model,
-            prompt_tokens=_prompt_tokens(request.body),
-            predicted_tokens=float(predicted),
-            request_class=kind,
+            prompt_tokens=predicted.prompt_tokens,
+            predicted_tokens=self._predictor.remaining(request),
+            request_class=predicted.request_class,
             deadline=request.deadline if math.isfinite(request.deadline) else math.inf,
             region=self._place.region,
             zone=self._place.zone,
@@ -223,6 +255,8 @@
             vm_class=record.vm_class,
             own=self._observer.figures(record.upstream, now),
             report=report,
+            weight=self.weight(record.upstream),
+            link_seconds=0.0 if record.region == self._place.region else REGION_LINK_SECONDS,
             models=frozenset(model.name for model in record.models),
         )
 
@@ -231,17 +265,6 @@
     return f"{request.request_id}/{request.epoch}/{request.attempt}"
 
 
-def _stated_tokens(body: Mapping[str, object]) -> int | None:
-    stated = body.get("max_completion_tokens") or body.get("max_tokens")
-    return stated if isinstance(stated, int) else None
-
-
-def _prompt_tokens(body: Mapping[str, object]) -> int:
-    messages = body.get("messages")
-    length = sum(len(str(each.get("content") or "")) for each in messages)  # type: ignore[union-attr]
-    return length // CHARACTERS_PER_TOKEN + 1
-
-
 def _serves(
     record: upstreams.Upstream, name: str, document: environment.Environment | None
 ) -> bool:
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -28,10 +28,13 @@
 from coltsfoothead.daemon.serving import (
     admission,
     generation,
+    leaving,
     locator,
+    prediction,
     replication,
     requests,
     router,
+    servicelevel,
     unreplicated,
 )
 
@@ -87,10 +90,13 @@
         self.table = requests.RequestTable(
             timeouts.answer_retention_seconds, settings.limits.answer_store_bytes
         )
+        self.predictor = prediction.Predictor(readiness.latest)
+        self.service_level = servicelevel.ServiceLevel(readiness.latest, metrics, clock)
         self.router = router.FleetRouter(
             directory,
             readiness.latest,
             router.Place(own.id, own.region, own.zone),
+            self.predictor,
             clock,
             rng,
         )
@@ -107,7 +113,7 @@
                 metrics,
                 clock,
             )
-        self.admission = admission.Admission(clock)
+        self.admission = admission.Admission(readiness.latest, self.predictor, metrics, clock)
         self._context = generation.Context(
             client,
             self.router,
@@ -116,6 +122,14 @@
             timeouts.stream_silence_seconds,
             clock,
             rng,
+            self._first_token,
+        )
+        self._leaving = leaving.Leaving(
+            lambda: self._running.values(),
+            self.router,
+            self.predictor,
+            readiness.latest,
+            clock,
         )
         self._ledger = idempotency.Ledger(LedgerProposals(proposals), own.id, incarnation)
         self._locator = locator.Locator(
@@ -150,7 +164,8 @@
             self._once,
             self._ledger,
             metrics,
-            self.admission.service_ended,
+            self.service_level.service_ended,
+            self.admission.count_request,
             clock,
         )
 
@@ -173,9 +188,14 @@
             frontend.Route(services.PREFIX, frozenset(), self._services.call),
         ]
 
+    @property
+    def leaving(self) -> leaving.Leaving:
+        """What is to be told of leaving upstreams."""
+        return self._leaving
+
     async def start(self) -> None:
         """Starts the background work."""
-        work = [self._expire()]
+        work = [self._expire(), self.admission.run()]
         if isinstance(self.replicator, replication.Replication):
             changes = self._membership.subscribe()
             work += [self.replicator.run(), self.replicator.watch(changes)]
@@ -226,6 +246,15 @@
             self._generations.pop(request.request_id, None)
             self._running.pop(request.request_id, None)
             self.table.ended(request)
+            if not request.moved:
+                self.service_level.model_ended(request)
+
+    def _first_token(self, request: requests.ModelRequest) -> None:
+        document = self._readiness.latest()
+        if document is not None and request.started_at is not None:
+            seconds = self._clock() - request.started_at
+            target = document.targets.first_token_seconds
+            self.admission.first_token(request.model, seconds, target)
 
     def _is_lost(self, member: str, incarnation: int) -> bool:
         """Returns whether a daemon's incarnation has left, died or been restarted."""
