Write a complete response at once

Cause: a response went out in three writes, head, body and end, each a system call, and each read of a request ran in a task of its own (asyncio.wait_for). Change: Exchange.respond frames the whole response and writes once; reads use a timeout scope. Ruled out: nothing.

--- a/packages/daemon/src/coltsfoothead/daemon/http/server.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/server.py
@@ -108,10 +108,14 @@
         """Writes a complete response."""
         length = ("content-length", str(len(response.body)))
         headers = [each for each in response.headers if each[0] != "content-length"]
-        await self.start(response.status, (*headers, length))
-        if self.request.method != "HEAD":
-            await self.write(response.body)
-        await self.end()
+        self._started = True
+        # One write for the whole response: each write is a system call that may wake the caller.
+        head = h11.Response(status_code=response.status, headers=[*headers, length])
+        events = [head, h11.EndOfMessage()]
+        if response.body and self.request.method != "HEAD":
+            events.insert(1, h11.Data(data=response.body))
+        self._send(*events)
+        await self._drain()
 
     async def start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Writes status and headers; without a content length the body is chunked."""
@@ -174,10 +178,10 @@
         """Closes the connection so that the caller sees an incomplete response."""
         self._writer.transport.abort()
 
-    def _send(self, event: h11.Event) -> None:
+    def _send(self, *events: h11.Event) -> None:
         if self.transport.is_closing():
             raise errors.CallerGoneError("connection is closed")
-        data = self.take_framed() + self._connection.send(event)
+        data = self.take_framed() + b"".join(map(self._connection.send, events))
         if data:
             self.transport.write(data)
 
@@ -323,9 +327,9 @@
             raise errors.MalformedRequestError(str(error)) from error
 
     async def _read(self, reader: asyncio.StreamReader, deadline: float, started: bool) -> bytes:
-        loop = asyncio.get_running_loop()
         try:
-            return await asyncio.wait_for(reader.read(READ_BYTES), deadline - loop.time())
+            async with asyncio.timeout_at(deadline):
+                return await reader.read(READ_BYTES)
         except TimeoutError:
             if not started:
                 return b""
