Shorten the code that runs for each token

Cause: about 150 Python calls per token, 70 of them in h11. Change: the client returns the only chunk of a read without a list and a join; tokens are the first case of the generation and are matched by class alone; release and available leave early; the structs of a chunk are not tracked by the garbage collector. Ruled out: reporting tokens to the observer less often; it would lengthen the usual gap that the stall ratio is measured by, which is a decision of the routing policies.

--- a/packages/daemon/src/coltsfoothead/daemon/callers/delivery.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/delivery.py
@@ -57,15 +57,19 @@
     def available(self) -> bytes:
         """Returns the next released events, at most `BATCH_TOKENS`; empty if there are none."""
         request = self._request
+        start = self._offset
+        until = request.released
+        if until <= start:
+            return b""
+        until = min(until, start + BATCH_TOKENS)
         parts = []
-        until = min(request.released, self._offset + BATCH_TOKENS)
-        for offset in range(self._offset, until):
+        for offset in range(start, until):
             role = b',"role":"assistant"' if offset == 0 else b""
             parts.append(
                 b'id: %d\ndata: %s%s%s},"finish_reason":null}]}\n\n'
                 % (offset, self._head, _encode(request.tokens[offset]), role)
             )
-        self._offset = max(self._offset, until)
+        self._offset = until
         return b"".join(parts)
 
     def ending(self) -> bytes:
--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -196,22 +196,19 @@
 
     def _take_body(self) -> tuple[bytes, bool]:
         """Returns the received part of the body and whether the body is whole."""
+        event = self.ready_event()
+        # Mostly one read brings one chunk. Asking h11 once more after it costs 4 us.
+        single = type(event) is h11.Data and event.chunk_end
+        if single and self.protocol.trailing_data == _BETWEEN_CHUNKS:
+            return event.data, False
         parts: list[bytes] = []
-        while True:
+        while type(event) is h11.Data:
+            parts.append(event.data)
             event = self.ready_event()
-            match event:
-                case h11.Data():
-                    parts.append(event.data)
-                    # Asking h11 once more at the end of a chunk costs 4 us per token.
-                    if event.chunk_end and self.protocol.trailing_data == _BETWEEN_CHUNKS:
-                        break
-                case h11.NEED_DATA:
-                    break
-                case h11.EndOfMessage():
-                    return b"".join(parts), True
-                case _:
-                    raise errors.UpstreamBrokeError("connection closed in the middle of the body")
-        return parts[0] if len(parts) == 1 else b"".join(parts), False
+        whole = type(event) is h11.EndOfMessage
+        if not whole and event is not h11.NEED_DATA:
+            raise errors.UpstreamBrokeError("connection closed in the middle of the body")
+        return b"".join(parts), whole
 
 
 class Answer:
--- a/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
@@ -154,8 +154,9 @@
     def _take(self, event: engine.Event, attempt: int, target: Target) -> None:
         request = self._request
         match event:
-            case engine.Tokens(offset, texts):
-                added = request.append(attempt, offset, texts)
+            # Tokens come first, and their class alone is matched: this runs for each token.
+            case engine.Tokens():
+                added = request.append(attempt, event.offset, event.texts)
                 if added:
                     self._failures = 0
                     self._context.router.tokens(request, target, added)
--- a/packages/daemon/src/coltsfoothead/daemon/serving/requests.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/requests.py
@@ -92,7 +92,7 @@
         known = len(self.tokens) - offset
         if attempt != self.attempt or self.end is not None or known < 0:
             return 0
-        fresh = texts[known:]
+        fresh = texts[known:] if known else texts
         self.tokens.extend(fresh)
         return len(fresh)
 
@@ -115,10 +115,10 @@
 
     def release(self, tokens: int, end: bool) -> None:
         """Allows delivery of the first `tokens` tokens and, if `end`, of the end."""
-        self.released = max(self.released, min(tokens, len(self.tokens)))
-        self._end_released = self._end_released or (
-            end and self.end is not None and self.released == len(self.tokens)
-        )
+        available = len(self.tokens)
+        self.released = max(self.released, min(tokens, available))
+        if end and self.end is not None and self.released == available:
+            self._end_released = True
         self.notify()
 
     def notify(self) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/upstreams/engine.py
+++ b/packages/daemon/src/coltsfoothead/daemon/upstreams/engine.py
@@ -30,8 +30,7 @@
     """The engine took the request."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tokens:
+class Tokens(msgspec.Struct, frozen=True, gc=False):
     """Consecutive pieces of text; `offset` is the first one's place in the answer."""
 
     offset: int
@@ -50,21 +49,21 @@
 Event = Started | Tokens | Finished
 
 
-class _Delta(msgspec.Struct):
+class _Delta(msgspec.Struct, gc=False):
     content: str | None = None
 
 
-class _Choice(msgspec.Struct):
+class _Choice(msgspec.Struct, gc=False):
     delta: _Delta = msgspec.field(default_factory=_Delta)
     finish_reason: str | None = None
 
 
-class _Usage(msgspec.Struct):
+class _Usage(msgspec.Struct, gc=False):
     prompt_tokens: int = 0
     completion_tokens: int = 0
 
 
-class _Chunk(msgspec.Struct):
+class _Chunk(msgspec.Struct, gc=False):
     choices: list[_Choice] = msgspec.field(default_factory=list)
     usage: _Usage | None = None
 
