Answer a change of voters once this daemon has seen it

Cause: the operators' API answers `/voters/add` and `/voters/remove` with the voters that the asked daemon's replica knows. A follower learns of the commit one message later than the leader answers, so the answer still listed the removed voter.

Change: the asked daemon waits up to 2 s until its own replica has the change.

Ruled out: voters in the leader's answer; the two logs may have different leaders, and the read-outs of the same daemon would still be behind for a moment.

--- a/packages/daemon/src/coltsfoothead/daemon/control/voters.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/voters.py
@@ -1,5 +1,7 @@
 """Adds and removes voters of both logs, one at a time, at whichever daemon leads."""
 
+import asyncio
+import time
 from typing import Literal
 
 import msgspec
@@ -16,6 +18,9 @@
 
 METHOD = "voters"
 CHANGE_SECONDS = 20.0
+# A follower learns of a commit with the next message, at the latest with a heartbeat.
+SEEN_SECONDS = 2.0
+SEEN_POLL_SECONDS = 0.01
 
 
 class VoterChangeError(errors.DaemonError):
@@ -98,11 +103,25 @@
         """
         for log in loghost.LOGS:
             await self._request(Change(log, "add", replica, address, zone))
+            await self._seen_here(log, replica, present=True)
 
     async def remove(self, replica: str) -> None:
         """Removes a replica from both logs; raises `VoterChangeError`."""
         for log in loghost.LOGS:
             await self._request(Change(log, "remove", replica))
+            await self._seen_here(log, replica, present=False)
+
+    async def _seen_here(self, log: str, replica: str, present: bool) -> None:
+        """Waits shortly until this daemon's replica has the change that the leader committed.
+
+        The operators' API answers with the voters that this replica knows.
+        """
+        task = self._logs.tasks.get(log)
+        deadline = time.monotonic() + SEEN_SECONDS
+        while task is not None and time.monotonic() < deadline:
+            if (replica in task.status().voters) == present:
+                return
+            await asyncio.sleep(SEEN_POLL_SECONDS)
 
     async def _request(self, change: Change) -> None:
         if self._logs.leads(change.log):
