--- a/packages/testsupport/src/coltsfoothead/testsupport/harness.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/harness.py
@@ -2,7 +2,9 @@
 
 import argparse
 import asyncio
+import contextlib
 import pathlib
+import random
 import shlex
 import shutil
 import signal
@@ -20,25 +22,27 @@
 __all__ = ["Harness", "free_ports", "main", "wait_until"]
 
 _POLL_SECONDS = 0.02
+# Linux takes the ports of outgoing connections from 32768 on by default.
+_PORTS = (10_000, 32_768)
 _READY_TIMEOUT_SECONDS = 15.0
 _DAEMON_MODULE = "coltsfoothead.daemon.main"
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Returns distinct free TCP ports chosen by the kernel.
+    """Returns distinct free TCP ports below the range of outgoing connections.
 
     Notes
     -----
-    Another process may take a port before it is used; port 0 is safer where it is possible.
+    A port of that range may be taken by any outgoing connection between two starts of a daemon.
+    Another process may still take a port before it is used; port 0 is safer where it is possible.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for opened in sockets:
-            opened.bind((host, 0))
-        return [opened.getsockname()[1] for opened in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+    ports: set[int] = set()
+    while len(ports) < count:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as opened, contextlib.suppress(OSError):
+            opened.bind((host, port))
+            ports.add(port)
+    return list(ports)
 
 
 async def wait_until(
