--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -236,6 +236,7 @@
             self._traffic,
             self._readiness,
             self._metrics,
+            self._links.counters,
             self._capacity_lease,
             voters.VoterChanges(self._logs, self._links, self._proposer, self._settings.daemon.id),
             self._clock,
--- a/packages/daemon/src/coltsfoothead/daemon/operators/state.py
+++ b/packages/daemon/src/coltsfoothead/daemon/operators/state.py
@@ -5,6 +5,7 @@
 from coltsfoothead.coordination.configuration import commands as configuration_commands
 from coltsfoothead.coordination.membership import directory as directory_module
 from coltsfoothead.coordination.membership import members as members_module
+from coltsfoothead.coordination.transport import counters as link_counters
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon import readiness as readiness_module
 from coltsfoothead.daemon import settings as settings_module
@@ -38,6 +39,7 @@
         traffic: traffic_module.Traffic,
         readiness: readiness_module.Readiness,
         metrics: metrics_module.Metrics,
+        links: Callable[[], link_counters.Counters],
         capacity_lease: leases.HeldLease,
         voter_changes: voters_module.VoterChanges,
         clock: Callable[[], float],
@@ -53,6 +55,7 @@
         self._members = members
         self._directory = directory
         self._metrics = metrics
+        self._links = links
         self._capacity_lease = capacity_lease
         self._clock = clock
 
@@ -180,7 +183,7 @@
         )
 
     def metrics(self) -> operations.MetricsAnswer:
-        """Returns counters and histograms."""
+        """Returns counters, with those of the links, and histograms."""
         histograms = {
             name: operations.HistogramSummary(
                 count=each.count, p50=each.p50, p95=each.p95, p99=each.p99, max=each.max
@@ -188,7 +191,8 @@
             for name, each in self._metrics.summaries().items()
         }
         return operations.MetricsAnswer(
-            counters=dict(sorted(self._metrics.counters.items())), histograms=histograms
+            counters=dict(sorted((self._metrics.counters | self._link_counters()).items())),
+            histograms=histograms,
         )
 
     def slo(self) -> operations.SloAnswer:
@@ -200,6 +204,17 @@
         status = self._log(loghost.CONTROL)
         return status.voters if status else ()
 
+    def _link_counters(self) -> dict[str, int]:
+        links = self._links()
+        found = {
+            f"link_{name}": getattr(links, name)
+            for name in ("batches_in", "batches_out", "reconnects", "dropped")
+        }
+        for channel, each in links.channels.items():
+            for name in ("messages_in", "messages_out", "bytes_in", "bytes_out"):
+                found[f"link_{name}_{channel}"] = getattr(each, name)
+        return found
+
     def _log(self, name: str) -> operations.LogStatus | None:
         task = self.logs.tasks.get(name)
         if task is None:
--- a/packages/daemon/tests/test_whole_path.py
+++ b/packages/daemon/tests/test_whole_path.py
@@ -108,3 +108,10 @@
             ]
             self.assertEqual({chat.text() for chat in chats}, {expected("again len=7")})
             self.assertEqual(len({chat.request_id for chat in chats}), 1)
+            await self.check_link_counters(started)
+
+    async def check_link_counters(self, started):
+        """Guards against a read-out from which the traffic of a channel cannot be told."""
+        counters = (await started.operators("d1", "GET", "/metrics"))["counters"]
+        for name in ("batches_out", "messages_in_swim", "bytes_out_swim", "bytes_in_raft-ledger"):
+            self.assertGreater(counters[f"link_{name}"], 0)
