--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -21,6 +21,7 @@
     "recovery": slopes_parts.recovery,
     "ledger": slopes_parts.ledger,
     "membership": slopes_parts.membership,
+    "tree": slopes_parts.tree,
     "frames": slopes_parts.frames,
     "links": slopes_parts.links,
 }
--- a/tools/slopes_parts.py
+++ b/tools/slopes_parts.py
@@ -15,6 +15,7 @@
 import measure_relay
 
 from coltsfoothead.coordination import ledger as ledger_module
+from coltsfoothead.coordination.configuration import tree as tree_module
 from coltsfoothead.coordination.ledger import commands, keys
 from coltsfoothead.coordination.machine import host, registry
 from coltsfoothead.coordination.membership import members, swim
@@ -27,6 +28,10 @@
 WRITERS = (1, 16, 128, 512)
 MEMBER_COUNTS = (50, 100, 200, 400, 1200)
 MEMBERS_SECONDS = 20.0
+MEMBERS_SETTLE_SECONDS = 20.0
+# The end condition looks at every lost member, which is too costly to do at each event.
+CONDITION_EVENTS = 200
+TREE_ROUNDS = 200
 BATCH_FRAMES = (1, 4, 16, 64, 256)
 FRAME_BYTES = 60
 LINK_COUNTS = (0, 50, 100, 200, 400)
@@ -206,7 +211,9 @@
     def run(self, seconds, condition=lambda: False):
         """Runs until `seconds` have passed or the condition holds."""
         end = self.now + seconds
-        while self.queue[0][0] < end and not condition():
+        for step in itertools.count(1):
+            if self.queue[0][0] >= end or step % CONDITION_EVENTS == 0 and condition():
+                return
             self.now, _, target, sender, payload = heapq.heappop(self.queue)
             if target in self.gone:
                 continue
@@ -222,7 +229,7 @@
 
 def _detectors(count):
     fleet = _Detectors(count)
-    fleet.run(60.0)
+    fleet.run(MEMBERS_SETTLE_SECONDS)
     fleet.messages = fleet.bytes = fleet.most_bytes = 0
     spent = time.process_time()
     fleet.run(MEMBERS_SECONDS)
@@ -263,6 +270,22 @@
     return "members", [_detectors(count) for count in MEMBER_COUNTS]
 
 
+def tree():
+    """Choice of the parent in the poll tree, which each daemon makes twice a second."""
+    rows = []
+    for count in MEMBER_COUNTS:
+        fleet = [
+            tree_module.Member(f"d{n}", f"region-{n % 5}", f"zone-{n % 17}", n < 5)
+            for n in range(count)
+        ]
+        spent = time.process_time()
+        for _ in range(TREE_ROUNDS):
+            tree_module.parents("d7", fleet, "d1")
+        spent = (time.process_time() - spent) / TREE_ROUNDS
+        rows.append({"members": count, "us_per_choice": round(1e6 * spent, 1)})
+    return "members", rows
+
+
 async def frames():
     """Two links in one process: round trips of batches, by frames per batch."""
     rows = []
