Copy the KV cache to the next engine of the region before a stream moves

Cause: a moved stream made its new engine compute prompt and answer again. Ruled out: between regions (15 Mbit/s for everything); larger caches through the daemon's memory. Relay and whole-path tests pass.

--- a/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/generation.py
@@ -11,13 +11,15 @@
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import errors as http_errors
 from coltsfoothead.daemon.serving import requests
-from coltsfoothead.daemon.upstreams import engine
+from coltsfoothead.daemon.upstreams import engine, kvcache
 
 __all__ = ["Context", "Generation", "Router", "Target"]
 
 # Time between looks for an upstream while none can take the request.
 WAIT_SECONDS = 0.1
 BACKOFF_SECONDS = 0.02
+# Time before a move at which the KV cache is copied; what is generated meanwhile is computed again.
+COPY_SECONDS = 0.5
 BACKOFF_LIMIT_SECONDS = 1.0
 # Statuses by which an engine asks to come back; every other 4xx is the request's own fault.
 TRANSIENT_STATUSES = frozenset({408, 409, 425, 429})
@@ -30,6 +32,7 @@
     upstream: str
     address: str
     priority: int
+    region: str = ""
 
 
 class Router(Protocol):
@@ -38,6 +41,9 @@
     def choose(self, request: requests.ModelRequest, excluded: frozenset[str]) -> Target | None:
         """Returns the upstream for the next attempt, or None if none can take it."""
 
+    def is_routable(self, upstream: str) -> bool:
+        """Returns whether an upstream may get new work."""
+
     def sent(self, request: requests.ModelRequest, target: Target) -> None:
         """An attempt begins."""
 
@@ -78,6 +84,8 @@
         self._move_timer: asyncio.Timeout | None = None
         self._failures = 0
         self._excluded: frozenset[str] = frozenset()
+        self._prepared: Target | None = None
+        self._preparing: asyncio.Task[None] | None = None
 
     @property
     def upstream(self) -> str | None:
@@ -89,9 +97,19 @@
         """The request."""
         return self._request
 
-    def move_at(self, when: float) -> None:
-        """Makes the running attempt move to another upstream at a monotonic time."""
+    def move_at(self, when: float, keep_cache: bool = False) -> None:
+        """Makes the running attempt move to another upstream at a monotonic time.
+
+        Parameters
+        ----------
+        when : float
+        keep_cache : bool
+            Copy the KV cache to the next upstream first, if that one is in the same region.
+        """
         timer = self._move_timer
+        if keep_cache and timer is not None and self._preparing is None:
+            work = self._copy_cache(when)
+            self._preparing = asyncio.get_running_loop().create_task(work)
         if timer is not None and (timer.when() is None or when < timer.when()):
             timer.reschedule(when)
 
@@ -104,11 +122,44 @@
         except TimeoutError:
             self._end(self._given_up())
         finally:
+            if self._preparing is not None:
+                self._preparing.cancel()
             if self._target is not None:
                 self._context.router.ended(self._request, self._target, failed=False)
 
+    async def _copy_cache(self, when: float) -> None:
+        """Copies the cache shortly before the move; without it the context is computed again."""
+        await asyncio.sleep(max(0.0, when - COPY_SECONDS - self._context.clock()))
+        source = self._target
+        if source is None or self._move_timer is None:
+            return
+        attempt = self._request.attempt
+        excluded = frozenset({source.upstream})
+        target = self._context.router.choose(self._request, excluded)
+        if target is None or target.region != source.region:
+            return
+        try:
+            tokens, size = await kvcache.transfer(
+                self._context.client,
+                source.address,
+                target.address,
+                self._request.request_id,
+                attempt,
+            )
+        except http_errors.HttpError:
+            self._context.metrics.count("kv_transfers_failed")
+            return
+        self._context.metrics.count("kv_tokens_transferred", tokens)
+        self._context.metrics.count("kv_bytes_transferred", size)
+        if attempt == self._request.attempt and self._move_timer is not None:
+            self._prepared = target
+            self.move_at(self._context.clock())
+
     async def _next_attempt(self) -> None:
-        target = self._context.router.choose(self._request, self._excluded)
+        target = self._prepared
+        if target is None or not self._context.router.is_routable(target.upstream):
+            target = self._context.router.choose(self._request, self._excluded)
+        self._prepared = None
         if target is None:
             self._excluded = frozenset()
             await asyncio.sleep(WAIT_SECONDS)
@@ -132,6 +183,7 @@
             self._context.metrics.count("attempts_failed")
         finally:
             self._move_timer = None
+            self._preparing = None
             self._target = None
             self._context.router.ended(self._request, target, failed)
         if self._request.end is None:
--- a/packages/daemon/src/coltsfoothead/daemon/serving/leaving.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/leaving.py
@@ -17,6 +17,10 @@
 MARGIN_SECONDS = 1.0
 STEP_SECONDS = 0.02
 SECONDS_PER_TOKEN = 0.034
+# Two matrices of 8 heads of 128 values of 2 bytes in 32 layers.
+KV_BYTES_PER_TOKEN = 131_072
+# 10 Gbit/s between VMs of a region.
+ZONE_LINK_BYTES_PER_SECOND = 1.25e9
 SECONDS_PER_PREFILL_TOKEN = 0.0003
 
 
@@ -71,11 +75,13 @@
         moves = [each for each in actions if not isinstance(each, leasttokens.Finish)]
         end = self._clock() + max(0.0, left - MARGIN_SECONDS)
         for position, action in enumerate(reversed(moves)):
-            affected[action.stream].move_at(max(self._clock(), end - position * STEP_SECONDS))
+            when = max(self._clock(), end - position * STEP_SECONDS)
+            keep_cache = isinstance(action, leasttokens.ExportKv)
+            affected[action.stream].move_at(when, keep_cache)
         # A stream that outlives its prediction is moved in time as well.
         for action in actions:
             if isinstance(action, leasttokens.Finish):
-                affected[action.stream].move_at(end)
+                affected[action.stream].move_at(end, keep_cache=True)
         logging.info(
             "upstream %s leaves in %.1f s: %d of %d streams move",
             record.upstream,
@@ -87,15 +93,16 @@
     def _stream(self, running: generation.Generation) -> leasttokens.LeavingStream:
         request = running.request
         figures = self._routes.figures(running.upstream)
+        context = prediction.prompt_tokens(request.body) + len(request.tokens)
         return leasttokens.LeavingStream(
             stream=request.request_id,
-            context_tokens=prediction.prompt_tokens(request.body) + len(request.tokens),
+            context_tokens=context,
             remaining_tokens=self._predictor.remaining(request),
             seconds_per_token=figures.seconds_per_token.blended(SECONDS_PER_TOKEN, 1.0),
             seconds_per_prefill_token=figures.seconds_per_prefill_token.blended(
                 SECONDS_PER_PREFILL_TOKEN, 1.0
             ),
-            kv_bytes=0.0,
-            # KV cache is not exported yet, so no link is offered.
-            link_bytes_per_second=0.0,
+            kv_bytes=float(context * KV_BYTES_PER_TOKEN),
+            # Only a target in the same region gets the cache; see `Generation.move_at`.
+            link_bytes_per_second=ZONE_LINK_BYTES_PER_SECOND,
         )
--- a/packages/daemon/src/coltsfoothead/daemon/serving/router.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/router.py
@@ -126,8 +126,14 @@
         decision = policy.choose(view, snapshot, self._rng)
         if isinstance(decision, views.NoUpstream):
             return None
-        address = records[decision.upstream].address
-        return generation.Target(decision.upstream, address, PRIORITIES[view.request_class])
+        chosen = records[decision.upstream]
+        priority = PRIORITIES[view.request_class]
+        return generation.Target(chosen.upstream, chosen.address, priority, chosen.region)
+
+    def is_routable(self, upstream: str) -> bool:
+        """Returns whether an upstream may get new work."""
+        routable = self._directory.routable(self._clock())
+        return any(record.upstream == upstream for record in routable)
 
     def sent(self, request: requests.ModelRequest, target: generation.Target) -> None:
         """An attempt begins."""
