Decide about a lost guard session by session; split the replication by side

Cause: read again, an owner proposed `Replace` only for its current pairing session, while the guard proposes `TakeOver` for each session of its copies. A request of an older session could have got two owners: one by the take-over, one by the change of guard. Ruled out: one session per owner and guard without a number (a guard could then never serve again). Conclusion: no request can have two owners by this way.

--- a/packages/daemon/src/coltsfoothead/daemon/serving/replication.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/replication.py
@@ -1,7 +1,6 @@
-"""Replicates accepted requests to a guard in another zone, and takes over those of lost owners."""
+"""Replication of accepted requests: owner side, guard side, and the channel between them."""
 
 import asyncio
-import dataclasses
 from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
@@ -9,58 +8,20 @@
 
 from coltsfoothead.coordination import arbitration
 from coltsfoothead.coordination import errors as coordination_errors
-from coltsfoothead.coordination.guard import guardian, messages, owner, placement
+from coltsfoothead.coordination.guard import guardian, messages
 from coltsfoothead.coordination.membership import members as members_module
 from coltsfoothead.coordination.transport import links as links_module
 from coltsfoothead.daemon import metrics as metrics_module
-from coltsfoothead.daemon.callers import refusals
-from coltsfoothead.daemon.control import loghost, proposer
-from coltsfoothead.daemon.serving import records, requests
+from coltsfoothead.daemon.control import proposer
+from coltsfoothead.daemon.serving import arbiter, ownerside, records, requests
 
-__all__ = ["Place", "Replication"]
+__all__ = ["Replication"]
 
 CHANNEL = "guard"
-HAND_OVER_METHOD = "guard.hand_over"
-# At most one message per guard in this time; tokens of all requests travel together.
-BATCH_SECONDS = 0.01
-IDLE_SECONDS = 0.1
-OPEN_SECONDS = 1.0
-# A guard that acknowledges nothing for this long is replaced, even if it is alive for others.
-SILENT_SECONDS = 3.0
-DECIDE_RETRY_SECONDS = 0.5
-AVOID_SECONDS = 30.0
-HAND_OVER_SECONDS = 2.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Who this daemon is, and whether requests need a guard."""
-
-    daemon: str
-    incarnation: int
-    guard_required: bool
-
-
-@dataclasses.dataclass(slots=True)
-class _Owned:
-    """A request that this daemon owns, with its replication state."""
-
-    request: requests.ModelRequest
-    state: owner.OwnerRequest
-    guard: owner.Guard | None
-    session: int
-    waiting_since: float | None = None
-    guardless: bool = False
-
-
-class HandOver(msgspec.Struct, frozen=True):
-    """Asks the guard to own requests that their owner has stopped."""
-
-    request_ids: tuple[str, ...]
 
 
 class Replication:
-    """Owner and guard sides of one daemon.
+    """Both sides of one daemon; the guard side takes over the requests of lost owners.
 
     Parameters
     ----------
@@ -79,7 +40,7 @@
 
     def __init__(
         self,
-        place: Place,
+        place: ownerside.Place,
         links: links_module.Links,
         members: Callable[[], Mapping[str, members_module.Member]],
         proposals: proposer.Proposer,
@@ -90,74 +51,29 @@
     ) -> None:
         self._place = place
         self._links = links
-        self._members = members
-        self._proposals = proposals
         self._resume = resume
         self._table = table
         self._metrics = metrics
         self._clock = clock
+        self._arbiter = arbiter.Arbiter(proposals)
         self._guardian = guardian.Guardian(place.incarnation)
-        self._owned: dict[str, _Owned] = {}
-        self._dirty: dict[str, set[str]] = {}
-        self._next_send: dict[str, float] = {}
-        self._wake = asyncio.Event()
-        self._deciding: dict[tuple[str, int, str], asyncio.Task[None]] = {}
-        # Guards that were replaced lately are passed over while there are others.
-        self._avoided: dict[str, float] = {}
-        self._session = place.incarnation
+        self._owner = ownerside.OwnerSide(
+            place, links, self._post, members, self._arbiter, table, metrics, clock
+        )
         links.on(CHANNEL, self._receive)
-        links.serve(HAND_OVER_METHOD, self._serve_hand_over)
+        links.serve(ownerside.HAND_OVER_METHOD, self._serve_hand_over)
 
     async def open(self, request: requests.ModelRequest) -> None:
-        """Returns once a guard holds a copy of a new request.
-
-        Raises
-        ------
-        RefusedError
-            If no guard can be had: `not_run` if nothing was sent to one, else `unknown`.
-        """
-        guard = self._choose_guard(request.request_id)
-        if guard is None:
-            if self._place.guard_required:
-                text = "no daemon in another zone can keep a copy of the request"
-                raise refusals.refuse(refusals.Code.NO_GUARD, text)
-            self._own(request, 1, None, None)
-            return
-        owned = self._own(request, 1, guard, None)
-        deadline = self._clock() + OPEN_SECONDS
-        while not owned.state.accepted and self._clock() < deadline:
-            await request.changed(deadline - self._clock())
-        if not owned.state.accepted:
-            text = f"daemon {guard.member_id!r} did not confirm its copy of the request"
-            unknown = refusals.Execution.UNKNOWN
-            raise refusals.refuse(refusals.Code.NO_GUARD, text, unknown)
+        """Returns once a guard holds a copy of a new request; raises `RefusedError`."""
+        await self._owner.open(request)
 
     def changed(self, request: requests.ModelRequest) -> None:
         """Takes new tokens and the end of a request, and releases what is acknowledged."""
-        owned = self._owned.get(request.request_id)
-        if owned is None:
-            return
-        state = owned.state
-        while state.attempt < request.attempt and not state.ended:
-            state.start_attempt()
-        for text in request.tokens[state.length :]:
-            state.append(state.attempt, messages.Chunk(text.encode(), 1))
-        if request.end is not None:
-            state.finish(state.attempt, records.encode_end(request.end))
-        if owned.guard is not None:
-            self._mark(owned)
-        elif not owned.guardless:
-            self._release(owned)
+        self._owner.changed(request)
 
     def forget(self, request: requests.ModelRequest) -> None:
         """Ends a request that was not accepted, so that its guard never runs it."""
-        if request.request_id not in self._owned:
-            return
-        text = "the request was not accepted"
-        unknown = refusals.Execution.UNKNOWN
-        refusal = refusals.refuse(refusals.Code.CANCELLED, text, unknown).refusal
-        request.finish(refusal, self._clock())
-        self.changed(request)
+        self._owner.forget(request)
 
     def holds_copy(self, request_id: str) -> bool:
         """Returns whether this daemon guards a running request."""
@@ -172,20 +88,8 @@
         return records.restore(held, self._clock())
 
     async def run(self) -> None:
-        """Sends what is new, repeats what was lost, replaces silent guards, until cancelled."""
-        next_scan = 0.0
-        while True:
-            now = self._clock()
-            if now >= next_scan:
-                next_scan = now + IDLE_SECONDS
-                self._scan(now)
-            wait = self._send(now)
-            try:
-                async with asyncio.timeout(min(wait, IDLE_SECONDS)):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-            self._wake.clear()
+        """Sends to the guards until cancelled."""
+        await self._owner.run()
 
     async def watch(self, changes: asyncio.Queue) -> None:
         """Reacts to lost and restarted members until cancelled."""
@@ -194,89 +98,20 @@
             member = change.member
             lost = member.state in (members_module.State.DEAD, members_module.State.LEFT)
             last_lost = member.incarnation if lost else member.incarnation - 1
-            self._member_lost(member.id, last_lost)
+            self._owner.member_lost(member.id, last_lost)
+            self._owner_lost(member.id, last_lost)
 
     async def hand_over(self) -> None:
         """Gives the running requests to their guards; callers come back to those."""
-        by_guard: dict[str, list[_Owned]] = {}
-        for owned in self._owned.values():
-            if owned.guard is not None and owned.request.end is None:
-                by_guard.setdefault(owned.guard.member_id, []).append(owned)
-        await asyncio.gather(*(self._give(*item) for item in by_guard.items()))
+        await self._owner.hand_over()
 
     async def stop(self) -> None:
-        """Cancels what is being decided."""
-        for task in self._deciding.values():
-            task.cancel()
-        await asyncio.gather(*self._deciding.values(), return_exceptions=True)
-
-    def _own(
-        self,
-        request: requests.ModelRequest,
-        epoch: int,
-        guard: owner.Guard | None,
-        held: messages.Copy | None,
-    ) -> _Owned:
-        request.epoch = epoch
-        request.guard = guard.member_id if guard else None
-        description = self._describe(request)
-        state = owner.OwnerRequest(request.request_id, epoch, description, guard, held)
-        owned = _Owned(request, state, guard, self._session, self._clock() if guard else None)
-        self._owned[request.request_id] = owned
-        if guard is not None:
-            self._mark(owned)
-        return owned
-
-    def _describe(self, request: requests.ModelRequest) -> bytes:
-        place = self._place
-        return records.describe(request, place.daemon, place.incarnation, self._session)
-
-    def _choose_guard(self, request_id: str) -> owner.Guard | None:
-        members = self._members()
-        now = self._clock()
-        candidates = [
-            member
-            for member in members.values()
-            if member.state is members_module.State.ALIVE
-            and member.metadata.get("draining") is None
-        ]
-        good = [member for member in candidates if self._avoided.get(member.id, 0.0) <= now]
-        me = members[self._place.daemon]
-        chosen = placement.choose_guard(request_id, good, me)
-        chosen = chosen or placement.choose_guard(request_id, candidates, me)
-        return owner.Guard(chosen.id, chosen.incarnation) if chosen else None
-
-    def _mark(self, owned: _Owned) -> None:
-        assert owned.guard is not None
-        if owned.waiting_since is None:
-            owned.waiting_since = self._clock()
-        self._dirty.setdefault(owned.guard.member_id, set()).add(owned.request.request_id)
-        self._wake.set()
-
-    def _send(self, now: float) -> float:
-        """Sends to the guards whose interval is over; returns the seconds until the next."""
-        wait = IDLE_SECONDS
-        for guard in list(self._dirty):
-            due = self._next_send.get(guard, 0.0)
-            if due > now:
-                wait = min(wait, due - now)
-                continue
-            self._next_send[guard] = now + BATCH_SECONDS
-            self._send_batch(guard, self._dirty.pop(guard), now)
-        return wait
-
-    def _send_batch(self, guard: str, request_ids: set[str], now: float) -> None:
-        batch: list[messages.Message] = []
-        for request_id in request_ids:
-            owned = self._owned.get(request_id)
-            if owned is not None and owned.guard is not None and owned.guard.member_id == guard:
-                batch += owned.state.outgoing(now)
-        if batch:
-            self._post(guard, batch)
+        """Cancels what is undecided."""
+        await self._arbiter.stop()
 
-    def _post(self, member: str, batch: list[messages.Message]) -> None:
+    def _post(self, member: str, batch: messages.Batch) -> None:
         try:
-            self._links.send(member, CHANNEL, messages.encode(messages.Batch(tuple(batch))))
+            self._links.send(member, CHANNEL, messages.encode(batch))
         except coordination_errors.CoordinationError as error:
             logging.debug("guard batch to %s not sent: %s", member, error)
 
@@ -293,157 +128,44 @@
                 case messages.Copy() | messages.Append():
                     answers.append(self._guardian.receive(sender, message, now))
                 case messages.Acknowledge() | messages.Refuse():
-                    self._answered(sender, message)
+                    self._owner.answered(sender, message)
         if answers:
-            self._post(sender, answers)
+            self._post(sender, messages.Batch(tuple(answers)))
 
-    def _answered(self, sender: str, message: messages.Acknowledge | messages.Refuse) -> None:
-        owned = self._owned.get(message.request_id)
-        if owned is None or owned.guard is None:
-            return
-        owned.state.receive(sender, message)
-        if owned.state.refusal == "superseded":
-            self._superseded(owned)
-        elif owned.state.refusal is not None:
-            self._replace(owned.guard)
-        else:
-            self._release(owned)
-
-    def _release(self, owned: _Owned) -> None:
-        state = owned.state
-        ended = state.result is not None
-        owned.waiting_since = None if state.settled else self._clock()
-        owned.request.release(state.acknowledged, ended)
-        if ended:
-            self._owned.pop(owned.request.request_id, None)
-
-    def _superseded(self, owned: _Owned) -> None:
-        """Stops a request that another daemon owns now; its callers come back to that one."""
-        request = owned.request
-        logging.info("request %s: another daemon owns it now", request.request_id)
-        self._metrics.count("requests_superseded")
-        self._owned.pop(request.request_id, None)
-        self._table.discard(request.request_id)
-        request.move_away()
-
-    def _scan(self, now: float) -> None:
-        """Repeats unacknowledged messages and replaces guards that stay silent."""
-        silent: set[owner.Guard] = set()
-        for owned in list(self._owned.values()):
-            if owned.guardless:
-                self._change_guard(owned)
-            if owned.guard is None or owned.waiting_since is None:
-                continue
-            if now - owned.waiting_since > SILENT_SECONDS:
-                silent.add(owned.guard)
-            self._dirty.setdefault(owned.guard.member_id, set()).add(owned.request.request_id)
-        for guard in silent:
-            self._replace(guard)
-
-    def _member_lost(self, member: str, incarnation: int) -> None:
-        """Decides about the pairs with a member's incarnations up to the given one."""
-        for owned in list(self._owned.values()):
-            guard = owned.guard
-            if guard and guard.member_id == member and guard.incarnation <= incarnation:
-                self._replace(guard)
+    def _owner_lost(self, member: str, incarnation: int) -> None:
+        """Asks to own the guarded requests of a member's incarnations up to the given one."""
+        sessions = set()
         for request_id in self._guardian.held_for(member):
             description = records.description_of(self._guardian.held(request_id))
             if description.owner_incarnation <= incarnation:
-                self._decide_once(
-                    (member, description.session, "take_over"),
-                    self._take_over(member, description.session),
-                )
-
-    def _replace(self, guard: owner.Guard) -> None:
-        self._decide_once(
-            (guard.member_id, guard.incarnation, "replace"), self._replace_guard(guard)
-        )
-
-    def _decide_once(
-        self, key: tuple[str, int, str], work: "asyncio.coroutines.Coroutine[None, None, None]"
-    ) -> None:
-        if key in self._deciding:
-            work.close()
-            return
-        task = asyncio.get_running_loop().create_task(work)
-        self._deciding[key] = task
-        task.add_done_callback(lambda _: self._deciding.pop(key, None))
-
-    async def _propose(self, command: msgspec.Struct) -> bool:
-        """Returns whether a proposal won; tries until the control log answers."""
-        while True:
-            try:
-                answer = await self._proposals.propose(loghost.CONTROL, arbitration.NAME, command)
-            except (proposer.QuorumLostError, proposer.UnknownOutcomeError) as error:
-                logging.info("arbitration is waiting: %s", error)
-                await asyncio.sleep(DECIDE_RETRY_SECONDS)
-                continue
-            return isinstance(answer, arbitration.Decided) and answer.won
-
-    async def _replace_guard(self, guard: owner.Guard) -> None:
-        """Asks for another guard in the place of one that is lost or silent."""
-        session = self._session
-        # Copies made from now on belong to another pairing, which this decision leaves alone.
-        self._session += 1
-        self._avoided[guard.member_id] = self._clock() + AVOID_SECONDS
-        command = arbitration.Replace(
-            self._place.daemon, session, guard.member_id, guard.incarnation
-        )
-        won = await self._propose(command)
-        logging.info("guard %s is replaced: %s", guard.member_id, won)
-        self._metrics.count("guards_replaced")
-        for owned in [each for each in self._owned.values() if each.guard == guard]:
-            if owned.session > session:
-                continue
-            if won:
-                self._change_guard(owned)
-            else:
-                self._superseded(owned)
-
-    def _change_guard(self, owned: _Owned) -> None:
-        fresh = self._choose_guard(owned.request.request_id)
-        if fresh is None and self._place.guard_required:
-            # Nothing more is delivered without a copy elsewhere; the next scan tries again.
-            owned.guard = None
-            owned.guardless = True
-            return
-        owned.guard = fresh
-        owned.guardless = False
-        owned.session = self._session
-        owned.request.guard = fresh.member_id if fresh else None
-        owned.state.change_guard(fresh, self._describe(owned.request))
-        owned.waiting_since = self._clock() if fresh else None
-        if fresh is None:
-            self._release(owned)
-        else:
-            self._mark(owned)
-
-    async def _take_over(self, member: str, session: int) -> None:
-        """Asks to own the requests of one pairing with a lost owner."""
-        me = self._place
-        command = arbitration.TakeOver(member, session, me.daemon, me.incarnation)
-        won = await self._propose(command)
-        logging.info("requests of daemon %s are taken over: %s", member, won)
-        for request_id in self._guardian.held_for(member):
-            held = self._guardian.held(request_id)
-            if records.description_of(held).session != session:
-                continue
-            if won:
-                await self._adopt(request_id, held.epoch + 1)
-            else:
-                # Their owner went on with another guard.
-                self._guardian.release(request_id)
+                sessions.add(description.session)
+        for session in sessions:
+            command = arbitration.TakeOver(
+                member, session, self._place.daemon, self._place.incarnation
+            )
+            self._arbiter.decide(command, self._take_over_decided(member, session))
+
+    def _take_over_decided(self, member: str, session: int) -> Callable[[bool], Awaitable[None]]:
+        async def decided(won: bool) -> None:
+            logging.info("requests of daemon %s are taken over: %s", member, won)
+            for request_id in self._guardian.held_for(member):
+                held = self._guardian.held(request_id)
+                if records.description_of(held).session != session:
+                    continue
+                if won:
+                    await self._adopt(request_id, held.epoch + 1)
+                else:
+                    # Their owner went on with another guard.
+                    self._guardian.release(request_id)
+
+        return decided
 
     async def _adopt(self, request_id: str, epoch: int) -> None:
         """Becomes the owner of a guarded request and goes on with it."""
         held = self._guardian.take_over(request_id, epoch, self._clock())
         request = records.restore(held, self._clock())
-        request.accepted = True
         self._table.add(request)
-        guard = self._choose_guard(request_id)
-        owned = self._own(request, epoch, guard, held)
-        if guard is None:
-            self._release(owned)
+        self._owner.adopt(request, epoch, held)
         logging.info(
             "request %s: taken over with %d tokens, epoch %d",
             request_id,
@@ -453,23 +175,8 @@
         self._metrics.count("requests_taken_over")
         await self._resume(request)
 
-    async def _give(self, guard: str, owned: list[_Owned]) -> None:
-        """Stops requests here and asks their guard to own them."""
-        request_ids = tuple(each.request.request_id for each in owned)
-        for each in owned:
-            self._owned.pop(each.request.request_id, None)
-            self._table.discard(each.request.request_id)
-            each.request.move_away()
-        payload = msgspec.msgpack.encode(HandOver(request_ids))
-        try:
-            await self._links.call(guard, HAND_OVER_METHOD, payload, HAND_OVER_SECONDS)
-            logging.info("%d requests handed over to daemon %s", len(request_ids), guard)
-        except coordination_errors.CoordinationError as error:
-            # The guard takes them over once it sees this daemon leave.
-            logging.warning("requests not handed over to daemon %s: %s", guard, error)
-
     async def _serve_hand_over(self, sender: str, payload: bytes) -> bytes:
-        wanted = msgspec.msgpack.decode(payload, type=HandOver)
+        wanted = msgspec.msgpack.decode(payload, type=ownerside.HandOver)
         for request_id in wanted.request_ids:
             held = self._guardian.held(request_id)
             if held is not None and held.result is None:
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -30,6 +30,7 @@
     generation,
     leaving,
     locator,
+    ownerside,
     prediction,
     replication,
     requests,
@@ -104,7 +105,7 @@
             self.replicator = unreplicated.Unreplicated()
         else:
             self.replicator = replication.Replication(
-                replication.Place(own.id, incarnation, settings.guard.required),
+                ownerside.Place(own.id, incarnation, settings.guard.required),
                 links,
                 lambda: membership.members,
                 proposals,
--- /dev/null
+++ b/packages/daemon/tests/test_replication.py
@@ -0,0 +1,123 @@
+"""Tests of the owner side's decisions about lost guards."""
+
+import asyncio
+import time
+import unittest
+
+from coltsfoothead.coordination import arbitration
+from coltsfoothead.coordination.guard import messages
+from coltsfoothead.coordination.membership import members
+from coltsfoothead.daemon import metrics
+from coltsfoothead.daemon.callers import refusals
+from coltsfoothead.daemon.serving import ownerside, requests
+
+
+class RecordingArbiter:
+    """Keeps what was proposed; the test decides."""
+
+    def __init__(self):
+        self.proposed = {}
+
+    def decide(self, command, decided):
+        self.proposed.setdefault(command, decided)
+
+
+class OwnerSideTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.arbiter = RecordingArbiter()
+        self.posted = []
+        self.members = {
+            name: members.Member(name, "127.0.0.1:1", "home", zone, incarnation=7)
+            for name, zone in (("me", "a"), ("left", "b"), ("right", "c"))
+        }
+        self.table = requests.RequestTable(600.0, 1 << 20)
+        self.side = ownerside.OwnerSide(
+            ownerside.Place("me", 100, True),
+            None,
+            lambda guard, batch: self.posted.append((guard, batch)),
+            lambda: self.members,
+            self.arbiter,
+            self.table,
+            metrics.Metrics(),
+            time.monotonic,
+        )
+
+    def send(self):
+        """Sends what is due, each time a second later than before."""
+        self.now = getattr(self, "now", time.monotonic()) + 1
+        self.side.send(self.now)
+
+    async def open(self, request_id):
+        """Opens a request whose guard confirms the copy."""
+        body = {"model": "small", "messages": []}
+        request = requests.ModelRequest(request_id, "kiosk", body, 0, time.monotonic() + 60)
+        self.table.add(request)
+        opening = asyncio.create_task(self.side.open(request))
+        await asyncio.sleep(0)
+        self.confirm(request)
+        await opening
+        return request
+
+    def confirm(self, request):
+        """Answers the newest copy of a request as its guard."""
+        self.send()
+        copies = [
+            (guard, message)
+            for guard, batch in self.posted
+            for message in batch.messages
+            if isinstance(message, messages.Copy) and message.request_id == request.request_id
+        ]
+        guard, copy = copies[-1]
+        answer = messages.Acknowledge(
+            request.request_id, copy.epoch, len(copy.chunks), False, copy.guard_number
+        )
+        self.side.answered(guard, answer)
+
+    async def opened_at(self, guard, prefix):
+        """Opens requests until one has the wanted guard."""
+        for number in range(100):
+            request = await self.open(f"{prefix}{number}")
+            if request.guard == guard:
+                return request
+        raise AssertionError(f"no request got guard {guard}")
+
+    async def test_each_session_with_a_lost_guard_is_decided_on_its_own(self):
+        """Guards against a second owner: the guard takes over by session, the owner must ask so."""
+        await self.opened_at("right", "other")
+        first = await self.opened_at("left", "first")
+        self.side.member_lost("right", 7)
+        second = await self.opened_at("left", "second")
+        self.arbiter.proposed.clear()
+        self.side.member_lost("left", 7)
+        sessions = {
+            command.owner_incarnation
+            for command in self.arbiter.proposed
+            if isinstance(command, arbitration.Replace) and command.guard == "left"
+        }
+        self.assertEqual(sessions, {100, 101})
+        lost = next(each for each in self.arbiter.proposed if each.owner_incarnation == 100)
+        await self.arbiter.proposed[lost](False)
+        self.assertTrue(first.moved)
+        self.assertFalse(second.moved)
+
+    async def test_tokens_wait_for_the_acknowledgement(self):
+        """Guards against delivering what only this daemon holds."""
+        request = await self.open("r")
+        request.attempt = 1
+        request.append(1, 0, ("a ", "b "))
+        self.side.changed(request)
+        self.assertEqual(request.released, 0)
+        self.send()
+        append = self.posted[-1][1].messages[-1]
+        answer = messages.Acknowledge("r", append.epoch, 1, False, append.guard_number)
+        self.side.answered(request.guard, answer)
+        self.assertEqual(request.released, 1)
+
+    async def test_without_another_zone_a_request_is_refused_as_not_run(self):
+        """Guards against accepting what a single loss would end."""
+        self.members = {"me": self.members["me"]}
+        request = requests.ModelRequest("r", "kiosk", {"model": "small"}, 0, time.monotonic() + 60)
+        with self.assertRaises(refusals.RefusedError) as caught:
+            await self.side.open(request)
+        self.assertIs(caught.exception.refusal.execution, refusals.Execution.NOT_RUN)
+        self.assertIs(caught.exception.refusal.code, refusals.Code.NO_GUARD)
