Test late reads and closed idle connections of the HTTP client

Cause: the client's connections are protocols of their own since tokens are pushed, and pause reading by themselves. Change: tests that an answer which nobody reads holds up the server, and that a kept connection which the server closed is not used again.

--- a/packages/daemon/tests/test_http_server.py
+++ b/packages/daemon/tests/test_http_server.py
@@ -120,3 +120,46 @@
         caller = client.Client(1.0)
         with self.assertRaises(errors.SilentUpstreamError):
             await caller.send(address, message.Request("GET", "/", (), b""), 0.2)
+
+    async def test_a_large_answer_read_late_is_whole_and_bounded(self):
+        """Guards against buffering an answer that nobody reads yet, and against a stuck read."""
+        size = 20_000_000
+        writers = []
+
+        async def answer(reader, writer):
+            writers.append(writer)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size)
+            for _ in range(size // 20_000):
+                writer.write(b"x" * 20_000)
+                await writer.drain()
+
+        listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        caller = client.Client(1.0)
+        self.addCleanup(caller.close)
+        head = await caller.send(address, message.Request("GET", "/", (), b""), 5.0)
+        await asyncio.sleep(0.3)
+        # The server is held up, so the sockets are full and the client has stopped reading.
+        self.assertGreater(writers[0].transport.get_write_buffer_size(), 0)
+        self.assertEqual(len(await head.read(5.0, size)), size)
+
+    async def test_a_kept_connection_that_the_server_closed_is_not_used(self):
+        """Guards against sending on a dead connection, after which nobody knows if it ran."""
+
+        async def answer_once(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi")
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        listener = await asyncio.start_server(answer_once, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        caller = client.Client(1.0)
+        self.addCleanup(caller.close)
+        for _ in range(3):
+            head = await caller.send(address, message.Request("GET", "/", (), b""), 5.0)
+            self.assertEqual(await head.read(5.0, 100), b"hi")
+            await asyncio.sleep(0.2)
