Check policy names before a document is accepted; expire ledger records; retries by policy

Cause: a document that named an unknown policy was accepted and would have failed every request; nothing ever proposed the ledger's expiry; the retry policy and the hedge were names without effect. Change: apply and check resolve every policy name; the ledger's leader proposes expiry once a minute; further attempts of repeatable calls are decided by the retry policy; the hedge's name leaves the schema until the daemon hedges. A test's sample put a look-alike line into a policy name, which is refused now; it sits in a version name instead, the check is unchanged. Ruled out: checking in `decode`, which every daemon runs on a document that is in force already. Measured: cli, kernel and daemon tests: 132 passed and that one failed before its sample moved; it passes now. Conclusion: no knob of the document is without effect.

--- a/packages/cli/src/coltsfoothead/cli/documents.py
+++ b/packages/cli/src/coltsfoothead/cli/documents.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from coltsfoothead.cli import errors
-from coltsfoothead.kernel import environment
+from coltsfoothead.kernel import environment, policycheck
 
 __all__ = ["Document", "load", "parse", "rename"]
 
@@ -43,7 +43,9 @@
 
 def parse(text: str, source: str) -> Document:
     """Checks the text of a document; `source` names it in errors."""
-    return Document(text, environment.decode(text, source))
+    content = environment.decode(text, source)
+    policycheck.check_policies(content, source)
+    return Document(text, content)
 
 
 def rename(document: Document, name: str) -> Document:
--- a/packages/cli/tests/test_cli_changes.py
+++ b/packages/cli/tests/test_cli_changes.py
@@ -201,7 +201,7 @@
     def test_only_the_name_is_replaced(self):
         """Guards against replacing text that looks like the environment's name elsewhere."""
         lookalike = 'environment = "other"\n'
-        head = f'policies.routing = """\n{lookalike}"""\n'
+        head = f'models = [{{name = "m", versions = ["""\n{lookalike}"""]}}]\n'
         for name_line in (lookalike, "'environment'='other' # name\n"):
             document = documents.parse(head + name_line, "sample")
             renamed = documents.rename(document, "live")
--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -16,7 +16,14 @@
 from coltsfoothead.daemon import errors, metrics, platform, readiness
 from coltsfoothead.daemon import settings as settings_module
 from coltsfoothead.daemon.callers import frontend
-from coltsfoothead.daemon.control import configuration, leases, loghost, proposer, voters
+from coltsfoothead.daemon.control import (
+    configuration,
+    leases,
+    ledgerkeeper,
+    loghost,
+    proposer,
+    voters,
+)
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
 from coltsfoothead.daemon.operators import api, state
@@ -199,6 +206,7 @@
             "capacity", own.id, self._incarnation, 10.0, self._proposer, self._clock
         )
         self._spawn(self._configuration.run())
+        self._spawn(ledgerkeeper.keep_ledger(self._logs, self._proposer))
         self._spawn(leases.keep_leases(self._logs, self._proposer, self._clock))
         if folder is not None:
             self._spawn(self._capacity_lease.run())
--- a/packages/daemon/src/coltsfoothead/daemon/callers/services.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/services.py
@@ -1,5 +1,6 @@
 """Calls to plain services."""
 
+import asyncio
 import dataclasses
 import uuid
 from collections.abc import Callable
@@ -89,8 +90,9 @@
     metrics : Metrics
     answer_limit_bytes : int
         Largest answer of a service.
-    may_retry : callable
-        Takes an organisation; returns whether its retry budget allows another attempt.
+    retry_delay : callable
+        Takes organisation, number of attempts so far, whether the call is repeatable, and the
+        seconds left; returns the delay before another attempt, or None if there is to be none.
     clock : callable
         Monotonic seconds.
     """
@@ -101,14 +103,14 @@
         router: Router,
         metrics: metrics_module.Metrics,
         answer_limit_bytes: int,
-        may_retry: Callable[[str], bool],
+        retry_delay: Callable[[str, int, bool, float], float | None],
         clock: Callable[[], float],
     ) -> None:
         self._client = client
         self._router = router
         self._metrics = metrics
         self._answer_limit_bytes = answer_limit_bytes
-        self._may_retry = may_retry
+        self._retry_delay = retry_delay
         self._clock = clock
 
     async def send(self, call: Call) -> message.Response:
@@ -121,14 +123,18 @@
         """
         excluded: frozenset[str] = frozenset()
         failure: errors.HttpError | None = None
-        for _ in range(MAX_ATTEMPTS):
+        started = self._clock()
+        for attempt in range(MAX_ATTEMPTS):
             target = self._router.choose_service(call.service.name, excluded)
             if target is None:
                 break
             # Nothing was sent on a connection that did not open, so trying elsewhere is no retry.
-            sent_before = isinstance(failure, errors.UpstreamBrokeError)
-            if sent_before and not self._may_retry(call.organisation):
-                break
+            if isinstance(failure, errors.UpstreamBrokeError):
+                left = call.service.timeout_seconds - (self._clock() - started)
+                delay = self._retry_delay(call.organisation, attempt, call.repeatable, left)
+                if delay is None:
+                    break
+                await asyncio.sleep(delay)
             try:
                 return await self._attempt(call, *target)
             except errors.ConnectError as error:
--- a/packages/daemon/src/coltsfoothead/daemon/serving/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/admission.py
@@ -1,6 +1,7 @@
 """Limits per organisation and model group: concurrency, fair queueing, early refusal, retries."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from coltsfoothead.daemon import metrics as metrics_module
@@ -38,6 +39,7 @@
     metrics : Metrics
     clock : callable
         Monotonic seconds.
+    rng : random.Random
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         predictor: prediction.Predictor,
         metrics: metrics_module.Metrics,
         clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self._document = document
         self._predictor = predictor
@@ -53,7 +56,9 @@
         self._clock = clock
         self._groups: dict[str, _Group] = {}
         self._running: dict[str, int] = {}
+        self._rng = rng
         self._budget = budget.RetryBudget()
+        self._retry_policies: dict[str, budget.RetryPolicy] = {}
 
     async def admit(
         self, organisation: environment.Organisation, request: requests.ModelRequest
@@ -83,12 +88,31 @@
         """Counts a first attempt, which earns a tenth of a retry."""
         self._budget.request(organisation)
 
-    def may_retry(self, organisation: str) -> bool:
-        """Returns whether the budgets allow a further attempt, and charges them."""
-        refused = self._budget.spend(organisation)
-        if refused is not None:
-            self._metrics.count("retries_refused")
-        return refused is None
+    def retry_delay(
+        self, organisation: str, attempt: int, repeatable: bool, seconds_left: float
+    ) -> float | None:
+        """Returns the seconds to wait before a further attempt, or None if there is to be none.
+
+        Parameters
+        ----------
+        organisation : str
+        attempt : int
+            Number of the attempt that failed after bytes were sent, from 1.
+        repeatable : bool
+        seconds_left : float
+        """
+        document = self._document()
+        name = document.policies.retry if document else "budget"
+        if name not in self._retry_policies:
+            self._retry_policies[name] = registry.resolve("retry", name)(self._budget)
+        verdict = self._retry_policies[name].decide(
+            organisation, attempt, repeatable, False, seconds_left, self._rng
+        )
+        if isinstance(verdict, budget.Retry):
+            self._metrics.count("retries")
+            return verdict.delay_seconds
+        self._metrics.count("retries_refused")
+        return None
 
     def first_token(self, model: str, seconds: float, target_seconds: float) -> None:
         """Takes the time to a first token, from which the concurrency limit adapts."""
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -114,7 +114,7 @@
                 metrics,
                 clock,
             )
-        self.admission = admission.Admission(readiness.latest, self.predictor, metrics, clock)
+        self.admission = admission.Admission(readiness.latest, self.predictor, metrics, clock, rng)
         self._context = generation.Context(
             client,
             self.router,
@@ -156,7 +156,7 @@
             self.router,
             metrics,
             settings.limits.body_bytes,
-            self.admission.may_retry,
+            self.admission.retry_delay,
             clock,
         )
         self._services = servicetraffic.ServiceTraffic(
--- a/packages/kernel/src/coltsfoothead/kernel/environment.py
+++ b/packages/kernel/src/coltsfoothead/kernel/environment.py
@@ -83,7 +83,6 @@
     routing: str = "completion"
     limit: str = "fair"
     retry: str = "budget"
-    hedge: str = "p95"
     prediction: str = "outputlength"
     outlier: str = "deviation"
     capacity: str = "cheapestmix"
--- a/packages/kernel/src/coltsfoothead/kernel/limits/concurrency.py
+++ b/packages/kernel/src/coltsfoothead/kernel/limits/concurrency.py
@@ -30,7 +30,7 @@
     saturation: float = 0.8
 
 
-@registry.register("limit", "aimd")
+@registry.register("concurrency", "aimd")
 class ConcurrencyLimit:
     """Raises the limit while latency is on target and the limit is in use; lowers it otherwise.
 
