Prepare the HTTP client, the planner and the fake cloud for the fleet's owner

Cause: an order may leave only while the lease is held, but a process can be suspended between its check and the write, since connecting comes in between. A start that the budget forbids is not a refusal of the cloud. A successor must tell what a VM was bought for, and the fake cloud's list showed neither tokens nor a delay. Change: Client.send calls `ready` after connecting, right before the first byte. The planner forgets a start that was never sent (`withdrawn`) without a backoff of its kind. The fake cloud lists client tokens, can show new VMs late (`list_delay_ms`) and records every start that reaches it (`/starts`). Ruled out: `refused` for starts beyond the budget, which blocks the kind for up to 600 s. Conclusion: the owner can be built on these.

--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -311,6 +311,7 @@
         request: message.Request,
         timeout: float | None,
         fresh: bool = False,
+        ready: Callable[[], None] | None = None,
     ) -> Answer:
         """Sends a request and returns the answer's head.
 
@@ -324,6 +325,9 @@
         fresh : bool
             Use a new connection. A kept one may have been closed by the server, and then it is
             unknown whether the request ran.
+        ready : callable, optional
+            Called once connected, right before the first byte is written. What it raises is
+            raised here, and nothing was sent.
 
         Raises
         ------
@@ -336,6 +340,8 @@
         if connection is None:
             connection = await self._connect(address)
         try:
+            if ready is not None:
+                ready()
             head = await self._exchange(connection, address, request, timeout)
         except BaseException:
             connection.close()
--- a/packages/kernel/src/coltsfoothead/kernel/capacity/planner.py
+++ b/packages/kernel/src/coltsfoothead/kernel/capacity/planner.py
@@ -136,6 +136,10 @@
         if self._pending.pop(start.client_token, None) is not None:
             self._backoff.refused(start.offer.kind, now, rng)
 
+    def withdrawn(self, start: Start) -> None:
+        """Forgets a start that the cloud was never asked for, for example beyond the budget."""
+        self._pending.pop(start.client_token, None)
+
     def accepted(self, start: Start, now: float) -> None:
         """Notes that the cloud accepted a start, which its list will show."""
         self._backoff.started(start.offer.kind)
--- a/packages/testsupport/src/coltsfoothead/testsupport/cloud.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/cloud.py
@@ -49,6 +49,8 @@
     state: str = "starting"
     reclaimed_at: float | None = None
     ended_at: float | None = None
+    client_token: str | None = None
+    listed_at: float = 0.0
 
     def spend(self, now: float) -> float:
         """Returns the spend so far; a VM is charged from when it runs until it ends."""
@@ -87,6 +89,8 @@
         self._tokens: dict[str, tuple[Any, str]] = {}
         self._refusals: list[dict[str, str]] = []
         self._lost_answers = 0
+        self._list_delay_seconds = 0.0
+        self.starts: list[dict[str, Any]] = []
         self.background = [self._run]
         route = self.router.route
         route("GET", "/catalog")(self._show_catalog)
@@ -95,12 +99,14 @@
         route("DELETE", "/vms/{id}")(self._delete)
         route("GET", "/vms/{id}/notice")(self._notice)
         route("GET", "/bill")(self._bill)
+        route("GET", "/starts")(self._show_starts)
         self.controls |= {
             "notice": lambda value: self.give_notice(value["vm"], value["seconds"]),
             "wave": lambda value: self.wave(value["zone"], value["seconds"]),
             "refuse": self._refusals.append,
             "allow_all": lambda value: self._refusals.clear(),
             "start_delay_ms": lambda ms: setattr(self, "_start_delay_seconds", ms / 1000),
+            "list_delay_ms": lambda ms: setattr(self, "_list_delay_seconds", ms / 1000),
             "lose_start_answers": lambda count: setattr(self, "_lost_answers", count),
             "register": lambda value: self.register(**value),
         }
@@ -152,6 +158,7 @@
         body = request.json()
         wanted = (body["class"], body["zone"], body["market"])
         token = body.get("client_token")
+        self.starts.append({"client_token": token, "wanted": wanted, "at": self._clock()})
         if token in self._tokens:
             earlier, vm_id = self._tokens[token]
             if earlier != wanted:
@@ -164,7 +171,8 @@
             return _error(503, "no_capacity", f"no capacity for {wanted}")
         vm_id = f"vm-{len(self.vms) + 1:04d}"
         runs_at = self._clock() + self._start_delay_seconds
-        self.vms[vm_id] = Vm(vm_id, *wanted, price, runs_at)
+        vm = self.vms[vm_id] = Vm(vm_id, *wanted, price, runs_at, client_token=token)
+        vm.listed_at = self._clock() + self._list_delay_seconds
         if token is not None:
             self._tokens[token] = (wanted, vm_id)
         self.advance()
@@ -188,9 +196,15 @@
     async def _list(self, request: web.Request) -> web.Response:
         self.advance()
         with_ended = request.query.get("ended") == "1"
-        shown = [vm for vm in self.vms.values() if with_ended or vm.ended_at is None]
+        shown = [vm for vm in self.vms.values() if with_ended or self._listed(vm)]
         return web.json_response({"vms": [self._view(vm) for vm in shown]})
 
+    def _listed(self, vm: Vm) -> bool:
+        return vm.ended_at is None and vm.listed_at <= self._clock()
+
+    async def _show_starts(self, request: web.Request) -> web.Response:
+        return web.json_response({"starts": self.starts})
+
     async def _notice(self, request: web.Request) -> web.Response:
         vm = self.vms.get(request.match["id"])
         if vm is None or vm.reclaimed_at is None:
@@ -215,6 +229,7 @@
             "market": vm.market,
             "state": vm.state,
             "price_per_hour": vm.price_per_hour,
+            "client_token": vm.client_token,
         }
 
 
