Buy, order, drain and stop VMs at the holder of the capacity lease

Cause: nobody acted on the capacity plan; the lease `capacity` was held for nothing. Change: the subpackage fleet: cloud.py (client of the cloud API, typed errors), orders.py (orders with the fencing number), market.py (list and catalogue in the planner's terms, room of the budget), demand.py (smoothed maximum), loading.py (scheduled loads), retiring.py (VMs being drained) and owner.py, which runs where platform.cloud_url is set. Client tokens are FENCE-STEP-MODEL. A new owner reads the list for platform.start_seconds before it buys. `vms` shows price, class, market and reclaim time at the owner. Ruled out: guessing the model of a starting VM from the directory, where it is not yet; dropping the term when the lease lapses, since a late renewal can bring the same fence back and the planner would use its tokens twice. Conclusion: demand is counted in slots, as the catalogue tells no speeds.

--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -17,6 +17,8 @@
 from coltsfoothead.daemon import settings as settings_module
 from coltsfoothead.daemon.callers import frontend
 from coltsfoothead.daemon.control import configuration, leases, loghost, proposer, voters
+from coltsfoothead.daemon.fleet import cloud as cloud_api
+from coltsfoothead.daemon.fleet import orders, owner
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
 from coltsfoothead.daemon.operators import api, state
@@ -27,6 +29,7 @@
 __all__ = ["App", "run"]
 
 STOP_GRACE_SECONDS = 2.0
+CAPACITY_LEASE_SECONDS = 10.0
 
 
 async def run(settings: settings_module.Settings) -> int:
@@ -187,7 +190,12 @@
         )
         self._readiness.set_configuration(self._configuration)
         self._capacity_lease = leases.HeldLease(
-            "capacity", own.id, self._incarnation, 10.0, self._proposer, self._clock
+            "capacity",
+            own.id,
+            self._incarnation,
+            CAPACITY_LEASE_SECONDS,
+            self._proposer,
+            self._clock,
         )
         self._spawn(self._configuration.run())
         self._spawn(leases.keep_leases(self._logs, self._proposer, self._clock))
@@ -217,6 +225,23 @@
             self._rng,
         )
         await self._traffic.start()
+        self._fleet = self._own_fleet() if self._settings.platform.cloud_url else None
+
+    def _own_fleet(self) -> owner.Owner:
+        settings, lease = self._settings.platform, self._capacity_lease
+        fleet = owner.Owner(
+            settings,
+            cloud_api.CloudClient(self._client, settings.cloud_url),
+            orders.Orders(self._client, lease, CAPACITY_LEASE_SECONDS, self._clock),
+            lease,
+            lambda: self._configuration.environment,
+            self._directory.directory,
+            self._metrics,
+            self._clock,
+            self._rng,
+        )
+        self._spawn(fleet.run())
+        return fleet
 
     async def _start_listeners(self) -> None:
         limits, timeouts, listen = (
@@ -245,6 +270,7 @@
             self._capacity_lease,
             voters.VoterChanges(self._logs, self._links, self._proposer, self._settings.daemon.id),
             self._clock,
+            self._fleet,
         )
         operators = api.OperatorsApi(
             view, api.read_token(self._settings.operators.token_file), self.stop_soon
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Owner of the fleet: buys and stops VMs and gives orders to upstreams."""
--- a/packages/daemon/src/coltsfoothead/daemon/operators/state.py
+++ b/packages/daemon/src/coltsfoothead/daemon/operators/state.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from coltsfoothead.coordination.configuration import commands as configuration_commands
 from coltsfoothead.coordination.membership import directory as directory_module
 from coltsfoothead.coordination.membership import members as members_module
@@ -13,6 +15,8 @@
 from coltsfoothead.daemon.control import configuration as configuration_module
 from coltsfoothead.daemon.control import leases, loghost, proposer
 from coltsfoothead.daemon.control import voters as voters_module
+from coltsfoothead.daemon.fleet import cloud
+from coltsfoothead.daemon.fleet import owner as fleet_owner
 from coltsfoothead.daemon.serving import requests as requests_module
 from coltsfoothead.daemon.serving import traffic as traffic_module
 from coltsfoothead.kernel import operations
@@ -42,6 +46,7 @@
         capacity_lease: leases.HeldLease,
         voter_changes: voters_module.VoterChanges,
         clock: Callable[[], float],
+        fleet: fleet_owner.Owner | None = None,
     ) -> None:
         self.settings = settings
         self.logs = logs
@@ -56,6 +61,7 @@
         self._metrics = metrics
         self._capacity_lease = capacity_lease
         self._clock = clock
+        self._fleet = fleet
 
     def status(self) -> operations.StatusAnswer:
         """Returns the state of the daemon."""
@@ -118,7 +124,7 @@
         return operations.MembersAnswer(members=tuple(sorted(entries, key=lambda e: e.id)))
 
     def vms(self) -> operations.VmsAnswer:
-        """Returns the VMs that daemons and upstreams run on."""
+        """Returns the VMs that daemons and upstreams run on, and those of the owner's list."""
         entries: dict[str, operations.VmEntry] = {}
         for member in self._members().values():
             if member.state <= members_module.State.SUSPECT:
@@ -141,11 +147,29 @@
                 zone=record.zone,
                 runs=runs,
             )
+        cost = self._add_listed(entries)
         return operations.VmsAnswer(
             vms=tuple(sorted(entries.values(), key=lambda entry: entry.id)),
             capacity_holder=self._capacity_lease.holder,
+            hourly_cost=cost,
         )
 
+    def _add_listed(self, entries: dict[str, operations.VmEntry]) -> float:
+        """Adds what the cloud's list says, if this daemon owns it; returns the hourly cost."""
+        listed = self._fleet.holdings() if self._fleet else []
+        for each in listed:
+            vm = each.vm
+            known = entries.get(vm.id) or operations.VmEntry(id=vm.id, state=vm.state)
+            entries[vm.id] = msgspec.structs.replace(
+                known,
+                vm_class=vm.vm_class,
+                zone=vm.zone,
+                reclaimable=vm.market == cloud.RECLAIMABLE,
+                hourly_cost=vm.price_per_hour,
+                reclaim_in_seconds=each.reclaim_seconds,
+            )
+        return sum(each.vm.price_per_hour for each in listed)
+
     def config(self) -> operations.ConfigAnswer:
         """Returns the document in force at this daemon."""
         held = self.configuration.document
--- a/packages/daemon/src/coltsfoothead/daemon/settings.py
+++ b/packages/daemon/src/coltsfoothead/daemon/settings.py
@@ -13,6 +13,9 @@
 Address = Annotated[
     str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}\Z")
 ]
+Url = Annotated[
+    str, msgspec.Meta(pattern=r"^http://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}(/.*)?\Z")
+]
 # The upper bound refuses the infinity that TOML can express.
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 Bytes = Annotated[int, msgspec.Meta(ge=1)]
@@ -96,12 +99,25 @@
     required: bool = True
 
 
+class VmClass(_Table):
+    """A VM class that may be bought, with the slots of its upstreams for one model."""
+
+    name: Name
+    slots: Count
+
+
 class Platform(_Table):
     """The platform's interface; without `notice_url` no reclaim notices are read."""
 
     notice_url: str | None = None
     poll_seconds: Seconds = 1.0
-    cloud_url: str | None = None
+    cloud_url: Url | None = None
+    plan_seconds: Seconds = 2.0
+    start_seconds: Seconds = 180.0
+    surplus_seconds: Seconds = 120.0
+    weight_bytes_per_second: Bytes = 100_000_000
+    weight_bytes: Bytes = 16_000_000_000
+    vm_classes: tuple[VmClass, ...] = ()
 
 
 class Settings(_Table):
