--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -117,7 +117,7 @@
         record = {"vm": self._settings.daemon.vm, "draining": "1"}
         self._membership.update(metadata=record)
         await self._logs.hand_over()
-        await self._capacity_lease.release()
+        await self._capacity_lease.release(for_good=True)
         await self._traffic.drain(self._drain_deadline)
 
     async def stop(self) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/control/leases.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/leases.py
@@ -73,6 +73,7 @@
         self._clock = clock
         self._lease = clocks.LeaseHolder()
         self._other: str | None = None
+        self._closed = False
 
     @property
     def fence(self) -> int:
@@ -93,19 +94,30 @@
         return self._lease.remaining(self._clock())
 
     async def run(self) -> None:
-        """Tries to hold the lease until cancelled."""
-        while True:
+        """Tries to hold the lease until cancelled or released for good."""
+        while not self._closed:
             try:
                 await self._step()
             except (proposer.QuorumLostError, proposer.UnknownOutcomeError) as error:
                 logging.debug("lease %s: %s", self._resource, error)
+            if self._closed:
+                # The step may have been under way when the lease was released.
+                await self.release()
+                return
             # Each try to take a lease that another holds costs an entry of the log.
             waiting = self._other is not None and not self.held()
             pause = self._ttl_seconds / 2 if waiting else self._ttl_seconds / 6
             await asyncio.sleep(pause)
 
-    async def release(self) -> None:
-        """Gives the lease back so that another daemon need not wait for its end."""
+    async def release(self, for_good: bool = False) -> None:
+        """Gives the lease back so that another daemon need not wait for its end.
+
+        Parameters
+        ----------
+        for_good : bool
+            Do not take it again, for example because this daemon stops.
+        """
+        self._closed = self._closed or for_good
         if not self.held():
             return
         self._lease.ended()
--- a/packages/daemon/src/coltsfoothead/daemon/fleet/owner.py
+++ b/packages/daemon/src/coltsfoothead/daemon/fleet/owner.py
@@ -22,6 +22,7 @@
 HALF_LIFE_SECONDS = 300.0
 # Refused starts are planned again at once, so that a short notice is enough for a replacement.
 ROUNDS = 16
+NOTICE_READS = 16  # at once
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,9 +146,7 @@
         term = self._term
         listed = await self._api.vms()
         zones = await self._api.catalogue()
-        notices = {
-            vm.id: await self._api.notice(vm.id) for vm in listed if vm.market == cloud.RECLAIMABLE
-        }
+        notices = await self._notices(listed)
         self._holdings = market.holdings(listed, notices)
         self._seen_at = self._clock()
         records = self._records()
@@ -190,6 +189,23 @@
         self._loads.close()
         await self._lease.release()
 
+    async def _notices(self, listed: Sequence[cloud.CloudVm]) -> dict[str, float | None]:
+        """Returns the notices; one that cannot be read leaves what was known of its VM."""
+        known = {each.vm.id: each.reclaim_seconds for each in self.holdings()}
+        limit = asyncio.Semaphore(NOTICE_READS)
+
+        async def read(vm: str) -> float | None:
+            async with limit:
+                try:
+                    return await self._api.notice(vm)
+                except cloud.CloudError:
+                    self._metrics.count("fleet_notices_unread")
+                    return known.get(vm)
+
+        wanted = [vm.id for vm in listed if vm.market == cloud.RECLAIMABLE]
+        found = await asyncio.gather(*(read(vm) for vm in wanted))
+        return dict(zip(wanted, found, strict=True))
+
     def _records(self) -> list[upstreams.Upstream]:
         live = self._directory.routable(self._clock())
         return [record for record in live if record.kind == "model"]
--- a/packages/daemon/tests/fleet_builders.py
+++ b/packages/daemon/tests/fleet_builders.py
@@ -41,6 +41,7 @@
         self.client = client.Client(2.0)
         self.load = 0
         self.serving = True
+        self.announced = True
         self.addresses = {}
         self.fenced = True
         self.metrics = metrics.Metrics()
@@ -67,6 +68,7 @@
                 load=upstreams.Load(running=self.load),
             )
             for vm in self.live
+            if self.announced
         ]
         return {record.upstream: record for record in records}
 
--- a/packages/daemon/tests/test_fleet.py
+++ b/packages/daemon/tests/test_fleet.py
@@ -1,9 +1,14 @@
 """Tests of the fleet's owner against the fake cloud and engine, on a clock of the test."""
 
+import asyncio
+import time
 import unittest
 
 import fleet_builders
 
+from coltsfoothead.coordination.lease import commands
+from coltsfoothead.daemon.control import leases
+from coltsfoothead.daemon.http import client
 from coltsfoothead.testsupport import engine, webclient
 
 
@@ -34,10 +39,11 @@
 
     async def test_a_successor_waits_for_what_the_list_does_not_show(self):
         """Guards against a double purchase while the list lags behind the last holder's start."""
-        first = self.world.owner(self.lease)
-        await self.world.steps(first, 4)
+        self.world.announced = False
         await self.world.control(list_delay_ms=4500)
-        await self.world.steps(first, 4)
+        first = self.world.owner(self.lease)
+        while not self.world.cloud.vms:
+            await self.world.steps(first, 2)
         self.assertEqual(len(self.world.cloud.vms), 2)
         await self.world.steps(self.world.owner(fleet_builders.Lease(9)), 20)
         self.assertEqual(len(self.world.cloud.vms), 2)
@@ -50,6 +56,19 @@
         await self.world.steps(fleet, 20)
         self.assertEqual(self.world.cloud.starts, [])
 
+    async def test_no_start_if_the_lease_ends_while_connecting(self):
+        """Guards against a start of a process that was suspended between check and write."""
+
+        class Suspended(client.Client):
+            async def send(inner, address, request, *arguments, **options):  # noqa: N805
+                if request.method == "POST":
+                    self.lease.seconds = 0.0
+                return await super().send(address, request, *arguments, **options)
+
+        self.world.client = Suspended(2.0)
+        await self.world.steps(self.world.owner(self.lease), 10)
+        self.assertEqual((self.lease.seconds, self.world.cloud.starts), (0.0, []))
+
     async def test_refusals_move_to_other_offers_and_back(self):
         """Guards against a fleet that stays short after refusals, or stays dear after them."""
         await self.world.control(refuse={"market": "reclaimable"})
@@ -91,6 +110,25 @@
         self.assertLessEqual(len(self.world.live), budget.max_vms)
 
 
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_lease_released_for_good_is_not_taken_again(self):
+        """Guards against a draining daemon that owns the fleet until its last request ends."""
+        asked = []
+
+        class Proposals:
+            async def propose(self, log, machine, command):
+                asked.append(type(command))
+                return commands.Granted(5, 0.06)
+
+        lease = leases.HeldLease("capacity", "d1", 1, 0.06, Proposals(), time.monotonic)
+        keeping = asyncio.ensure_future(lease.run())
+        while not lease.held():
+            await asyncio.sleep(0)
+        await lease.release(for_good=True)
+        await asyncio.wait_for(keeping, 5.0)
+        self.assertEqual(asked[-1], commands.Release)
+
+
 class OrdersTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, checks_fencing, load_seconds=0.0):
         self.world = await self.enterAsyncContext(fleet_builders.world())
--- a/packages/daemon/tests/test_fleet_processes.py
+++ b/packages/daemon/tests/test_fleet_processes.py
@@ -93,13 +93,21 @@
         await self.cluster.wait_ready([name])
 
     async def check_engine_orders(self):
-        """Starts an engine on a bought VM; it answers loads without loading, so they repeat."""
-        vm = (await self.bought())[0]
+        """Starts an engine that loads, and one that answers loads without loading."""
+        vm, other = await self.bought()
+        place = ("--vm", other["id"], "--vm-class", other["class"], "--models", "")
+        loading = await self.cluster.start_engine("e0", other["zone"], *place)
+
+        async def loaded():
+            reply = await webclient.fetch(loading.address, "GET", "/v1/models")
+            return [each["id"] for each in reply.json()["data"]] == ["small"]
+
         place = ("--vm", vm["id"], "--vm-class", vm["class"], "--models", "")
         self.engine = await self.cluster.start_engine("e1", vm["zone"], *place, "--check-fencing")
         body = {"order_answer_without_running": 100_000}
         await webclient.fetch(self.engine.address, "POST", "/control", json=body)
         await self.wait(self.order_fences, "an order to the engine")
+        await self.wait(loaded, "a load by an engine that checks no fences")
 
     async def order_fences(self):
         reply = await webclient.fetch(self.engine.address, "GET", "/stats")
