--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -24,6 +24,8 @@
     proposer,
     voters,
 )
+from coltsfoothead.daemon.fleet import cloud as cloud_api
+from coltsfoothead.daemon.fleet import orders, owner
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
 from coltsfoothead.daemon.operators import api, state
@@ -38,6 +40,7 @@
 # membership in a large fleet. 10 s cost more processor time with 48 daemons: 5.9 against
 # 4.2% of a core.
 LINK_IDLE_SECONDS = 3.0
+CAPACITY_LEASE_SECONDS = 10.0
 
 
 async def run(settings: settings_module.Settings) -> int:
@@ -130,7 +133,7 @@
         record = {"vm": self._settings.daemon.vm, "draining": "1"}
         self._membership.update(metadata=record)
         await self._logs.hand_over()
-        await self._capacity_lease.release()
+        await self._capacity_lease.release(for_good=True)
         await self._traffic.drain(self._drain_deadline)
 
     async def stop(self) -> None:
@@ -203,7 +206,12 @@
         )
         self._readiness.set_configuration(self._configuration)
         self._capacity_lease = leases.HeldLease(
-            "capacity", own.id, self._incarnation, 10.0, self._proposer, self._clock
+            "capacity",
+            own.id,
+            self._incarnation,
+            CAPACITY_LEASE_SECONDS,
+            self._proposer,
+            self._clock,
         )
         self._spawn(self._configuration.run())
         self._spawn(ledgerkeeper.keep_ledger(self._logs, self._proposer))
@@ -235,6 +243,23 @@
         )
         self._directory.on_change(self._traffic.leaving.changed)
         await self._traffic.start()
+        self._fleet = self._own_fleet() if self._settings.platform.cloud_url else None
+
+    def _own_fleet(self) -> owner.Owner:
+        settings, lease = self._settings.platform, self._capacity_lease
+        fleet = owner.Owner(
+            settings,
+            cloud_api.CloudClient(self._client, settings.cloud_url),
+            orders.Orders(self._client, lease, CAPACITY_LEASE_SECONDS, self._clock),
+            lease,
+            lambda: self._configuration.environment,
+            self._directory.directory,
+            self._metrics,
+            self._clock,
+            self._rng,
+        )
+        self._spawn(fleet.run())
+        return fleet
 
     async def _start_listeners(self) -> None:
         limits, timeouts, listen = (
@@ -264,6 +289,7 @@
             self._capacity_lease,
             voters.VoterChanges(self._logs, self._links, self._proposer, self._settings.daemon.id),
             self._clock,
+            self._fleet,
         )
         operators = api.OperatorsApi(
             view, api.read_token(self._settings.operators.token_file), self.stop_soon
