--- a/packages/daemon/src/coltsfoothead/daemon/main.py
+++ b/packages/daemon/src/coltsfoothead/daemon/main.py
@@ -6,7 +6,7 @@
 from typing import Annotated
 
 import typer
-from absl import logging
+from absl import flags, logging
 
 from coltsfoothead.daemon import app, errors, settings
 
@@ -48,6 +48,8 @@
 
 
 def _set_up_logging() -> None:
+    # The daemon takes no absl flags; unparsed ones make absl print a warning before the first line.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().python_handler.stream = sys.stderr
