--- a/packages/coordination/tests/test_examples.py
+++ b/packages/coordination/tests/test_examples.py
@@ -12,7 +12,15 @@
 class ExampleTest(unittest.TestCase):
     def test_the_examples_run(self):
         """Guards against examples that no longer fit the interface, or grow long."""
-        for example, line in (("lease", "second holds with fence 4"), ("ledger", "deposit")):
+        lines = {
+            "guard": "the old owner is refused: superseded",
+            "lease": "second holds with fence 4",
+            "ledger": "deposit",
+            "log": "Granted(fence=",
+            "membership": "c left",
+        }
+        self.assertEqual(set(lines), {path.stem for path in EXAMPLES.glob("*.py")})
+        for example, line in lines.items():
             path = EXAMPLES / f"{example}.py"
             output = io.StringIO()
             with contextlib.redirect_stdout(output):
