Add the benchmark of decisions under load

It prints cost, head-of-line blocking, the effect of slowed engines, recomputed tokens through an announced reclaim, and shares and goodput under overload, each with its target. benchtrace makes the traces, benchfigures works out the figures, and benchinstallation runs a phase.

Ruled out: a different address of a daemon or engine per viewer. Announcements and membership records hold one address, so what the away region opens towards the home region does not cross the link; the notes in benchinstallation say so. The second installation compares fewer policies, because both in full exceed 6 minutes.

--- a/packages/testsupport/src/coltsfoothead/testsupport/announce.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/announce.py
@@ -22,13 +22,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """Who and where an upstream is."""
+    """Who and where an upstream is.
+
+    `advertised_address` is announced in place of the upstream's own address, for example that of
+    a proxy route before it.
+    """
 
     upstream: str = "upstream-1"
     region: str = "home"
     zone: str = "home-a"
     vm: str = "vm-1"
     vm_class: str = "standard"
+    advertised_address: str = ""
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -118,14 +123,17 @@
         left_ms = None
         if self._deadline is not None:
             left_ms = max(0, round((self._deadline - time.monotonic()) * 1000))
-        return {
-            **dataclasses.asdict(self._where),
+        place = dataclasses.asdict(self._where)
+        advertised = place.pop("advertised_address")
+        body = {
+            **place,
             "incarnation": self._incarnation,
             "sequence": self._sequence,
             "state": "leaving" if self.leaving else "serving",
             "deadline_ms": left_ms,
             **self._describe(),
         }
+        return {**body, "address": advertised} if advertised else body
 
     async def run(self) -> None:
         """Announces until cancelled."""
--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,251 @@
+"""Benchmark of the decisions under load: real daemons against fakes in the two installations.
+
+The trace is made from the seed beforehand. Every request is sent at its intended time, whatever
+has become of the others, and its latency counts from that time. The routing policies are compared
+in one run, on the same processes and the same traces.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import os
+import sys
+import time
+
+from coltsfoothead.kernel.capacity import bound, offers
+from coltsfoothead.testsupport import benchfigures, benchinstallation, benchtrace, harness
+
+ZONE_LATENCY_MS = {"first": 0.5, "second": 1.5}
+# Policy and the figures that it takes part in. The second installation compares less, so that a
+# run of both stays under 6 minutes.
+POLICIES = {
+    "first": {
+        "roundrobin": {1, 2, 3},
+        "leastinflight": {1, 2, 3},
+        "completion": {1, 2, 3, 5},
+    },
+    "second": {"roundrobin": {1}, "completion": {1, 2, 3, 5}},
+}
+OWN_POLICY = "completion"
+TARGETS = benchfigures.Targets(
+    first_token_seconds=1.7, token_gap_seconds=0.034, service_seconds=1.0
+)
+# Price per hour by zone and VM class.
+PRICES = {
+    ("home-a", "on-demand"): 3.0,
+    ("home-b", "on-demand"): 3.3,
+    ("away-a", "on-demand"): 2.7,
+    ("home-a", "reclaimable"): 1.0,
+    ("home-b", "reclaimable"): 1.1,
+    ("away-a", "reclaimable"): 0.9,
+}
+ENGINE_TOKENS_PER_SECOND = benchinstallation.SLOTS / benchinstallation.GAP_SECONDS
+CAPACITY = ENGINE_TOKENS_PER_SECOND * len(benchinstallation.ENGINES)
+BASE_LOAD = 0.7
+FLOOD_LOAD = 1.5
+FLOODING = "hostel"
+SLOWED = {"e2": 5.0, "e9": 5.0}
+PHASE_SECONDS = 6.0
+OVERLOAD_SECONDS = 5.0
+FIGURES = (1, 2, 3, 4, 5)
+
+
+def fleet_price(on_demand_only=False):
+    """Returns the price per hour of all runners."""
+    return sum(
+        PRICES[zone, "reclaimable" if reclaimable and not on_demand_only else "on-demand"]
+        for _, zone, reclaimable in benchinstallation.ENGINES
+    )
+
+
+def bound_per_thousand(arrivals, seconds):
+    """Returns the least cost per 1,000 model requests of a trace."""
+    model = [each for each in arrivals if each.kind != "service"]
+    kinds = [
+        offers.Offer(zone, kind, kind == "reclaimable", price, ENGINE_TOKENS_PER_SECOND)
+        for (zone, kind), price in PRICES.items()
+    ]
+    rate = sum(each.length for each in model) / seconds
+    interval = bound.Interval(seconds, {"small": rate}, {"small": kinds})
+    return bound.lower_bound([interval]) / len(model) * 1000
+
+
+class Bench:
+    """One run of one installation with one seed."""
+
+    def __init__(self, name, seed, only, scale):
+        self.figures = []
+        self.notes = []
+        self._name = name
+        self._seed = seed
+        self._only = only
+        self._seconds = PHASE_SECONDS * scale
+        self._overload_seconds = OVERLOAD_SECONDS * scale
+        self._baseline_cost = None
+
+    async def run(self):
+        """Starts the installation, runs every phase and returns the figures."""
+        async with harness.Harness() as children:
+            installation = benchinstallation.Installation(children, ZONE_LATENCY_MS[self._name])
+            await installation.start()
+            for policy, figures in POLICIES[self._name].items():
+                wanted = figures & self._only
+                if wanted:
+                    await installation.use(policy, TARGETS)
+                    mixed = await self._compare(installation, policy, wanted)
+            if self._only == {4}:
+                await installation.use(OWN_POLICY, TARGETS)
+            if 4 in self._only:
+                await self._wave(installation)
+            if 5 in self._only:
+                await self._overload(installation, mixed)
+            self.notes.append(f"bytes over the link: {await installation.link_bytes()}")
+        return self.figures
+
+    def _add(self, number, name, value, limit=None, at_least=False):
+        self.figures.append(
+            benchfigures.Figure(number, f"{self._name}: {name}", value, limit, at_least)
+        )
+
+    async def _phase(self, installation, name, load, arrivals=None, **options):
+        seconds = options.pop("seconds", self._seconds)
+        if arrivals is None:
+            arrivals = benchtrace.trace(self._seed, name, seconds, load * CAPACITY)
+        engines = len(benchinstallation.ENGINES)
+        phase = benchinstallation.Phase(
+            name,
+            seconds,
+            arrivals,
+            benchtrace.slowdowns(self._seed, name, seconds, engines),
+            **options,
+        )
+        started = time.monotonic()
+        outcomes = await installation.run(phase)
+        note = (
+            f"{name}: {len(arrivals)} requests in {time.monotonic() - started:.1f} s, "
+            f"not answered {outcomes.refusals}, executions {outcomes.executions}"
+        )
+        self.notes.append(note)
+        print(f"{self._name} seed {self._seed} {note}", file=sys.stderr, flush=True)
+        return outcomes
+
+    async def _compare(self, installation, policy, wanted):
+        own = policy == OWN_POLICY
+        arrivals = benchtrace.trace(self._seed, "mixed", self._seconds, BASE_LOAD * CAPACITY)
+        mixed = await self._phase(installation, "mixed", BASE_LOAD, arrivals)
+        if 1 in wanted:
+            self._cost(policy, mixed, arrivals)
+        if 2 in wanted:
+            short = [each for each in arrivals if each.kind in ("short", "service")]
+            alone = await self._phase(installation, "mixed", BASE_LOAD, short)
+            upper = benchfigures.short_p99(mixed.requests)
+            lower = benchfigures.short_p99(alone.requests)
+            self._add(2, f"{policy}: short p99 with long ones, s", upper)
+            self._add(2, f"{policy}: short p99 without long ones, s", lower)
+            value = benchfigures.ratio(upper, lower)
+            self._add(2, f"{policy}: with / without long ones", value, 1.2 if own else None)
+        if 3 in wanted:
+            slowed = await self._phase(installation, "mixed", BASE_LOAD, arrivals, slowed=SLOWED)
+            upper = benchfigures.short_p99(slowed.requests)
+            value = benchfigures.ratio(upper, benchfigures.short_p99(mixed.requests))
+            self._add(3, f"{policy}: short p99 with 2 of 9 slowed 5x, s", upper)
+            self._add(3, f"{policy}: slowed / none slowed", value, 1.3 if own else None)
+        return mixed
+
+    def _cost(self, policy, mixed, arrivals):
+        own = policy == OWN_POLICY
+        cost = benchfigures.cost_per_thousand(mixed.requests, TARGETS, fleet_price(), self._seconds)
+        self._add(1, f"{policy}: cost per 1,000 within target", cost)
+        least = bound_per_thousand(arrivals, self._seconds)
+        limit = 1.15 if own else None
+        self._add(1, f"{policy}: cost / lower bound", benchfigures.ratio(cost, least), limit)
+        if policy == "roundrobin":
+            self._baseline_cost = benchfigures.cost_per_thousand(
+                mixed.requests, TARGETS, fleet_price(on_demand_only=True), self._seconds
+            )
+        elif own and self._baseline_cost is not None:
+            value = benchfigures.ratio(cost, self._baseline_cost)
+            self._add(1, f"{policy}: cost / round-robin on on-demand VMs", value, 0.6)
+
+    async def _wave(self, installation):
+        outcomes = await self._phase(installation, "wave", BASE_LOAD / 2, wave_at=self._seconds / 3)
+        await installation.restart_ended()
+        value = benchfigures.ratio(outcomes.recomputed_tokens, outcomes.generated_tokens)
+        self._add(4, f"{OWN_POLICY}: recomputed / generated tokens", value, 0.01)
+        lost = sum(outcomes.refusals.values())
+        self._add(4, f"{OWN_POLICY}: requests without a whole answer through the wave", lost)
+
+    async def _overload(self, installation, mixed):
+        seconds = self._overload_seconds
+        arrivals = benchtrace.trace(self._seed, "mixed", seconds, BASE_LOAD * CAPACITY)
+        arrivals += benchtrace.flood(self._seed, FLOODING, seconds, FLOOD_LOAD * CAPACITY)
+        flooded = await self._phase(installation, "flood", 0, arrivals, seconds=seconds)
+        quiet = benchfigures.share_by_organisation(mixed.requests, TARGETS)
+        shares = benchfigures.share_by_organisation(flooded.requests, TARGETS)
+        for name, share in shares.items():
+            self._add(5, f"share within target of {name} without a flood", quiet.get(name, 0))
+            role = "flooding" if name == FLOODING else "others flood"
+            self._add(5, f"share within target of {name}, {role}", share)
+        worst = benchfigures.worst_loss(quiet, shares, FLOODING)
+        self._add(5, "largest loss of an organisation that does not flood, points", worst, 2.0)
+        reached = {}
+        for factor in (1, 2, 4):
+            outcomes = await self._phase(
+                installation, f"load-{factor}x", factor, seconds=seconds, waits_idle=factor < 4
+            )
+            reached[factor] = benchfigures.goodput(outcomes.requests, TARGETS, seconds)
+            self._add(5, f"goodput at {factor}x, requests/s", reached[factor])
+        value = benchfigures.ratio(reached[4], reached[1])
+        self._add(5, "goodput at 4x / 1x", value, 0.95, at_least=True)
+        value = benchfigures.amplification(outcomes.executions, outcomes.executed_requests)
+        self._add(5, "executions per executed request at 4x", value, 1.1)
+
+
+async def run_all(options):
+    """Runs every installation with every seed; returns rows by installation and notes."""
+    names = [options.installation] if options.installation else list(ZONE_LATENCY_MS)
+    only = set(options.only or FIGURES)
+    report = {"seeds": [], "load_averages": [], "rows": [], "notes": []}
+    runs = []
+    for seed in range(options.seed, options.seed + options.runs):
+        report["seeds"].append(seed)
+        figures = []
+        for name in names:
+            run = Bench(name, seed, only, options.scale)
+            report["load_averages"].append(os.getloadavg()[0])
+            figures += await run.run()
+            report["notes"] += [f"{name} seed {seed} {note}" for note in run.notes]
+        runs.append(figures)
+    report["load_averages"].append(os.getloadavg()[0])
+    report["rows"] = benchfigures.spread(runs)
+    return report
+
+
+def main():
+    """Parses the arguments, runs the benchmark and prints its table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--installation", choices=list(ZONE_LATENCY_MS))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=1, help="seeds, counted from --seed")
+    parser.add_argument("--only", type=int, action="append", choices=FIGURES)
+    parser.add_argument("--scale", type=float, default=1.0, help="factor on the traces' seconds")
+    parser.add_argument("--json", action="store_true", help="print JSON in place of the table")
+    options = parser.parse_args()
+    started = time.monotonic()
+    report = asyncio.run(run_all(options))
+    report["seconds"] = round(time.monotonic() - started, 1)
+    if options.json:
+        rows = [
+            {**dataclasses.asdict(figure), "verdict": figure.verdict, "lowest": low, "highest": top}
+            for figure, low, top in report["rows"]
+        ]
+        print(json.dumps({**report, "rows": rows}, indent=2))
+        return
+    loads = ", ".join(f"{load:.1f}" for load in report["load_averages"])
+    print(f"seeds {report['seeds']}, {report['seconds']} s, load average {loads}\n")
+    print(benchfigures.table(report["rows"]))
+
+
+if __name__ == "__main__":
+    main()
