Give each test process a loopback network of its own

Cause: a daemon that was killed and started again found its port taken: the test modules of a run choose ports independently, and one can take the port of another's daemon while that is down. Change: the test cluster binds on 127.A.B.n with A and B from the process ID. Ruled out: outgoing connections (the ports are below their range).

--- a/packages/testsupport/src/coltsfoothead/testsupport/cluster.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import hashlib
+import os
 import pathlib
 import sys
 from collections.abc import Sequence
@@ -60,6 +61,15 @@
     return "\n".join(lines)
 
 
+def _network() -> str:
+    """Returns a loopback network of this process's own.
+
+    Another test's daemon cannot take the port of a daemon that is down between two starts.
+    """
+    pid = os.getpid()
+    return f"127.{1 + pid // 250 % 250}.{pid % 250}"
+
+
 class Cluster:
     """Daemons and fakes as child processes of a harness.
 
@@ -81,7 +91,7 @@
         ports = harness.free_ports(len(self.places) * len(LISTENERS))
         for position, name in enumerate(self.places):
             own = ports[position * len(LISTENERS) :]
-            host = f"127.0.0.{position + 1}"
+            host = f"{_network()}.{position + 1}"
             self.addresses[name] = {
                 listener: f"{host}:{port}" for listener, port in zip(LISTENERS, own, strict=False)
             }
