End the wait for another daemon's call when that daemon is given up

Cause: a duplicate of a running call waits at its owner over the peer link. Links wait for a dead peer to come back, so a duplicate that came while the owner died was held for 60 s in place of an answer within the failure detector's bound.

Ruled out: a shorter timeout; calls may run longer than any such bound.

--- a/packages/daemon/src/coltsfoothead/daemon/serving/locator.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/locator.py
@@ -1,5 +1,6 @@
 """Finds requests that other daemons hold and relays their answers."""
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
 import msgspec
@@ -18,6 +19,7 @@
 JOIN_METHOD = "request.join"
 FIND_SECONDS = 1.0
 JOIN_SECONDS = 60.0
+JOIN_CHECK_SECONDS = 0.25
 # The holder sends a heartbeat more often than this while it has nothing to relay.
 SILENCE_SECONDS = 3.0
 HEARTBEAT_SECONDS = 1.0
@@ -88,13 +90,20 @@
         self._links.serve_stream(READ_METHOD, self._read)
 
     async def join(self, owner: str, request_id: str) -> None:
-        """Waits until another daemon has settled a call, or cannot be reached."""
+        """Waits until another daemon has settled a call, is given up, or cannot be reached."""
+        question = _encode(JoinRequest(request_id))
+        call = asyncio.ensure_future(self._links.call(owner, JOIN_METHOD, question, JOIN_SECONDS))
         try:
-            await self._links.call(
-                owner, JOIN_METHOD, _encode(JoinRequest(request_id)), JOIN_SECONDS
-            )
-        except coordination_errors.CoordinationError:
-            return
+            # Links wait for a dead peer to come back, so the membership must end the call.
+            while not call.done() and self._is_alive(owner):
+                await asyncio.wait([call], timeout=JOIN_CHECK_SECONDS)
+        finally:
+            call.cancel()
+            await asyncio.gather(call, return_exceptions=True)
+
+    def _is_alive(self, name: str) -> bool:
+        member = self._members().get(name)
+        return member is not None and member.state <= members_module.State.SUSPECT
 
     async def relay(
         self, exchange: server.Exchange, request_id: str, organisation: str, offset: int
