Announce proxied fakes only by their proxy, and keep the ports of parallel clusters apart

Cause: `ledger-written` was not reached in 2 of 8 starts: a fake announced its own address before the proxy's route was set, and the call passed the cut. Ports still clashed between clusters that chose them at the same moment, and the check looked at 127.0.0.1 only, while the daemons of a cluster use several loopback addresses.

Change: announcements start when the route is set.

--- a/packages/testsupport/src/coltsfoothead/testsupport/faults/world.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/faults/world.py
@@ -159,7 +159,11 @@
             self.services.append(plain)
 
     async def _behind_proxy(self, fake: Any, name: str) -> None:
+        # Announced only with the proxy's address; a call to the fake's own would pass a cut.
+        fake.announcer.enabled = False
         fake.address = await self.proxy.add_route(name, await fake.start())
+        fake.announcer.enabled = True
+        fake.announcer.renew()
 
     def new_caller(self, first: str) -> caller.Caller:
         """Returns a recording caller that begins at a daemon and goes on with the others."""
--- a/packages/testsupport/src/coltsfoothead/testsupport/harness.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/harness.py
@@ -3,8 +3,9 @@
 import argparse
 import asyncio
 import contextlib
+import itertools
+import os
 import pathlib
-import random
 import shlex
 import shutil
 import signal
@@ -23,12 +24,15 @@
 
 _POLL_SECONDS = 0.02
 # Linux takes the ports of outgoing connections from 32768 on by default.
-_PORTS = (10_000, 32_768)
+_FIRST_PORT = 10_000
+_PORTS = 22_768
+# Processes that choose ports at the same time, before they bind them, begin far apart.
+_candidates = itertools.count(os.getpid() * 64)
 _READY_TIMEOUT_SECONDS = 15.0
 _DAEMON_MODULE = "coltsfoothead.daemon.main"
 
 
-def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Returns distinct free TCP ports below the range of outgoing connections.
 
     Notes
@@ -38,9 +42,11 @@
     """
     ports: set[int] = set()
     while len(ports) < count:
-        port = random.randrange(*_PORTS)
+        port = _FIRST_PORT + next(_candidates) % _PORTS
         with socket.socket() as opened, contextlib.suppress(OSError):
-            opened.bind((host, port))
+            # Nothing listens here. The bind fails if the port is taken at any loopback address,
+            # and daemons of one cluster use several of these.
+            opened.bind(("", port))
             ports.add(port)
     return list(ports)
 
