Measure each slope in a process of its own

Cause: a whole run of tools/slopes.py measured resident memory in a process that earlier parts had grown.

--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -9,6 +9,8 @@
 import inspect
 import json
 import os
+import subprocess
+import sys
 
 import slopes_daemons
 import slopes_parts
@@ -85,24 +87,31 @@
         )
 
 
-async def run(names):
-    """Measures the parts one after the other."""
-    results = {"load_average_at_start": os.getloadavg()[0]}
-    for name in names:
-        measured = PARTS[name]()
-        size, rows = await measured if inspect.isawaitable(measured) else measured
-        fitted = lines(rows, size)
-        show(name, size, rows, fitted)
-        results[name] = {"size": size, "rows": rows, "lines": fitted}
-    return results
+async def run(name):
+    """Measures one part and prints its table; returns what the JSON holds of it."""
+    measured = PARTS[name]()
+    size, rows = await measured if inspect.isawaitable(measured) else measured
+    fitted = lines(rows, size)
+    show(name, size, rows, fitted)
+    return {"size": size, "load_average": os.getloadavg()[0], "rows": rows, "lines": fitted}
+
+
+def run_apart(name):
+    """Measures one part in a process of its own, whose memory no other part has grown."""
+    command = (sys.executable, __file__, "--only", name)
+    output = subprocess.run(command, check=True, stdout=subprocess.PIPE, text=True).stdout
+    table, _, result = output.rstrip().rpartition("\n")
+    print(table, flush=True)
+    return json.loads(result)[name]
 
 
 def main():
     """Parses the arguments, measures and prints."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--only", choices=PARTS, action="append", help="repeatable")
-    options = parser.parse_args()
-    print(json.dumps(asyncio.run(run(options.only or list(PARTS)))))
+    parser.add_argument("--only", choices=PARTS)
+    name = parser.parse_args().only
+    results = {name: asyncio.run(run(name))} if name else {each: run_apart(each) for each in PARTS}
+    print(json.dumps(results))
 
 
 if __name__ == "__main__":
--- a/tools/slopes_parts.py
+++ b/tools/slopes_parts.py
@@ -4,6 +4,7 @@
 import contextlib
 import heapq
 import itertools
+import multiprocessing
 import pathlib
 import random
 import subprocess
@@ -11,6 +12,7 @@
 import tempfile
 import time
 import uuid
+from concurrent import futures
 
 import measure_relay
 
@@ -171,7 +173,10 @@
 
 async def ledger():
     """Ledger state by records, and claims per second; `records` is the writers there."""
-    rows = [_apply_ledger(count) for count in CLAIM_COUNTS]
+    # Memory that an earlier count freed would hide the growth of the next one.
+    spawn = multiprocessing.get_context("spawn")
+    with futures.ProcessPoolExecutor(1, spawn, max_tasks_per_child=1) as pool:
+        rows = list(pool.map(_apply_ledger, CLAIM_COUNTS))
     rows += [await _claims(writers) for writers in WRITERS]
     return "records", rows
 
