Let the benchmark's callers come back and print figures as they are known

Cause: in a first whole run 7 streams of the overload phase ended early and were counted as lost, although a caller may ask for the rest; and the run lost all its figures when its temporary folder was removed from outside after 5 minutes.

Change: a caller whose stream ended early asks for the rest. Each figure is printed to the error output when it is known. The phase with slowed engines waits 6 s for its last answers, since only short requests count there. The processor time of the run is printed as cores.

Ruled out: a fault of the harness; its folder was deleted by another process of the machine.

Conclusion: a run that ends early still leaves its figures.

--- a/packages/testsupport/src/coltsfoothead/testsupport/benchinstallation.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/benchinstallation.py
@@ -59,6 +59,7 @@
     wave_at: float | None = None
     wave_zone: str = "home-b"
     wave_notice_seconds: float = 3.0
+    drain_seconds: float = DRAIN_SECONDS
     waits_idle: bool = True
 
 
@@ -145,7 +146,7 @@
             asyncio.create_task(self._send(callers[each.organisation, each.region], each, started))
             for each in phase.arrivals
         ]
-        await asyncio.wait(sends, timeout=0.1 + phase.seconds + DRAIN_SECONDS)
+        await asyncio.wait(sends, timeout=0.1 + phase.seconds + phase.drain_seconds)
         unfinished = [send for send in sends if not send.done()]
         for send in unfinished:
             send.cancel()
@@ -213,6 +214,9 @@
         else:
             fields = {} if arrival.stated is None else {"max_tokens": arrival.stated}
             record = await front.chat(arrival.prompt, intended_at=at, **fields)
+            if record.status == 200:
+                # A stream may end early with the order to come back, for example at a take-over.
+                await front.finish(record, DRAIN_SECONDS)
         return _outcome(arrival, record), _code(arrival, record)
 
     async def _disturb(self, slowdown: benchtrace.Slowdown, phase: Phase, started: float) -> None:
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import os
+import resource
 import sys
 import time
 
@@ -46,6 +47,8 @@
 FLOOD_LOAD = 1.5
 FLOODING = "hostel"
 SLOWED = {"e2": 5.0, "e9": 5.0}
+# Stragglers on slowed engines take 30 s; only short requests count in that phase.
+SLOWED_DRAIN_SECONDS = 6.0
 PHASE_SECONDS = 6.0
 OVERLOAD_SECONDS = 5.0
 FIGURES = (1, 2, 3, 4, 5)
@@ -104,9 +107,10 @@
         return self.figures
 
     def _add(self, number, name, value, limit=None, at_least=False):
-        self.figures.append(
-            benchfigures.Figure(number, f"{self._name}: {name}", value, limit, at_least)
-        )
+        figure = benchfigures.Figure(number, f"{self._name}: {name}", value, limit, at_least)
+        self.figures.append(figure)
+        # A run that ends early keeps the figures that it had reached.
+        print(f"{number}. {figure.name}: {value:.4g}", file=sys.stderr, flush=True)
 
     async def _phase(self, installation, name, load, arrivals=None, **options):
         seconds = options.pop("seconds", self._seconds)
@@ -146,7 +150,14 @@
             value = benchfigures.ratio(upper, lower)
             self._add(2, f"{policy}: with / without long ones", value, 1.2 if own else None)
         if 3 in wanted:
-            slowed = await self._phase(installation, "mixed", BASE_LOAD, arrivals, slowed=SLOWED)
+            slowed = await self._phase(
+                installation,
+                "mixed",
+                BASE_LOAD,
+                arrivals,
+                slowed=SLOWED,
+                drain_seconds=SLOWED_DRAIN_SECONDS,
+            )
             upper = benchfigures.short_p99(slowed.requests)
             value = benchfigures.ratio(upper, benchfigures.short_p99(mixed.requests))
             self._add(3, f"{policy}: short p99 with 2 of 9 slowed 5x, s", upper)
@@ -202,6 +213,12 @@
         self._add(5, "executions per executed request at 4x", value, 1.1)
 
 
+def processor_seconds():
+    """Returns the processor time of this process and of the children that have ended."""
+    usages = [resource.getrusage(who) for who in (resource.RUSAGE_SELF, resource.RUSAGE_CHILDREN)]
+    return sum(usage.ru_utime + usage.ru_stime for usage in usages)
+
+
 async def run_all(options):
     """Runs every installation with every seed; returns rows by installation and notes."""
     names = [options.installation] if options.installation else list(ZONE_LATENCY_MS)
@@ -234,7 +251,9 @@
     options = parser.parse_args()
     started = time.monotonic()
     report = asyncio.run(run_all(options))
-    report["seconds"] = round(time.monotonic() - started, 1)
+    seconds = time.monotonic() - started
+    report["seconds"] = round(seconds, 1)
+    report["cores"] = round(processor_seconds() / seconds, 2)
     if options.json:
         rows = [
             {**dataclasses.asdict(figure), "verdict": figure.verdict, "lowest": low, "highest": top}
@@ -243,7 +262,8 @@
         print(json.dumps({**report, "rows": rows}, indent=2))
         return
     loads = ", ".join(f"{load:.1f}" for load in report["load_averages"])
-    print(f"seeds {report['seeds']}, {report['seconds']} s, load average {loads}\n")
+    cost = f"{report['seconds']} s, {report['cores']} cores"
+    print(f"seeds {report['seeds']}, {cost}, load average {loads}\n")
     print(benchfigures.table(report["rows"]))
 
 
