Say in the help what the options mean to a newcomer

Cause: the help gave the two timeouts no text, wrote "else NAME" for defaults, called the targets file "the file", named the daemon's own deadline "drain_seconds" without its table, and cut off two of the summaries in the list of commands. The daemon's help came in boxes, unlike that of the operators' command. Change: the texts; the summary of the root command says how an installation is chosen; the daemon prints plain help like the operators' command. Ruled out: renaming options, since scripts use them.

--- a/packages/cli/src/coltsfoothead/cli/configcommands.py
+++ b/packages/cli/src/coltsfoothead/cli/configcommands.py
@@ -11,14 +11,20 @@
 
 _ExpectVersion = Annotated[
     int | None,
-    typer.Option("--expect-version", min=0, help="Version in force. Default: read it first."),
+    typer.Option(
+        "--expect-version",
+        min=0,
+        help="Refuse unless this version is in force. Default: read it first.",
+    ),
 ]
 _ExpectDigest = Annotated[
     str | None,
-    typer.Option("--expect-digest", help="Digest in force; goes with --expect-version."),
+    typer.Option(
+        "--expect-digest", help="Refuse unless this digest is in force; goes with --expect-version."
+    ),
 ]
 _ExitCode = Annotated[
-    bool, typer.Option("--exit-code", help="Exit with 9 if there is a difference.")
+    bool, typer.Option("--exit-code", help="Exit with 9 if the content or the text differs.")
 ]
 _From = Annotated[
     str, typer.Option("--from", help="Trial environment: IP:port, a list of them or a target.")
@@ -40,7 +46,7 @@
 
 
 def check(file: options.File, as_json: options.Json = False) -> None:
-    """Check a document without sending it."""
+    """Check an environment document; needs no daemon."""
     try:
         document = documents.load(file)
     except environment.EnvironmentError as error:
@@ -68,7 +74,7 @@
     exit_code: _ExitCode = False,
     as_json: options.Json = False,
 ) -> int:
-    """Show what applying a document would change."""
+    """Show what applying a document would change; changes nothing."""
     document = documents.load(file)
     in_force = changes.current(options.client(context))
     found, text_differs = _compare(in_force, document)
@@ -91,7 +97,7 @@
     no_wait: options.NoWait = False,
     as_json: options.Json = False,
 ) -> None:
-    """Replace the document in force if it is still the expected one."""
+    """Put a document in force unless another change won."""
     if (expect_version is None) != (expect_digest is None):
         raise errors.UsageError("--expect-version and --expect-digest go together")
     document = documents.load(file)
@@ -115,7 +121,7 @@
     no_wait: options.NoWait = False,
     as_json: options.Json = False,
 ) -> None:
-    """Apply the document in force in the trial environment to the production environment."""
+    """Apply the trial document to production."""
     if trial == production:
         raise errors.UsageError("--from and --to are the same")
     client = options.client_at(context, production)
--- a/packages/cli/src/coltsfoothead/cli/fleetcommands.py
+++ b/packages/cli/src/coltsfoothead/cli/fleetcommands.py
@@ -26,11 +26,13 @@
     daemon: Annotated[str, typer.Argument(metavar="DAEMON", help="ID of the daemon.")],
     deadline_seconds: Annotated[
         float | None,
-        typer.Option("--deadline-seconds", help="Time to finish. Default: drain_seconds."),
+        typer.Option(
+            "--deadline-seconds", help="Time for running requests. Default: timeouts.drain_seconds."
+        ),
     ] = None,
     as_json: options.Json = False,
 ) -> None:
-    """Stop a daemon gracefully: no new work, running requests finish or move."""
+    """Stop one daemon gracefully; running requests finish or move."""
     fields = {"daemon": daemon, "deadline_seconds": deadline_seconds}
     request = _checked(fields, operations.DrainRequest)
     answer = options.client(context).write(
@@ -43,11 +45,14 @@
 def _add(
     context: typer.Context,
     voter: _Voter,
-    address: Annotated[str, typer.Option("--address", help="Peer address, IP:port.")],
-    zone: Annotated[str, typer.Option("--zone", help="Zone of the voter.")],
+    address: Annotated[
+        str,
+        typer.Option("--address", help="Peer address of the new voter (listen.peers), IP:port."),
+    ],
+    zone: Annotated[str, typer.Option("--zone", help="Zone of the new voter.")],
     as_json: options.Json = False,
 ) -> None:
-    """Add a voter once it has caught up as a learner."""
+    """Add a running daemon as a voter; returns once it has caught up and counts."""
     _change(
         context, operationpaths.VOTERS_ADD, {"id": voter, "address": address, "zone": zone}, as_json
     )
@@ -55,7 +60,7 @@
 
 @_voters.command("remove")
 def _remove(context: typer.Context, voter: _Voter, as_json: options.Json = False) -> None:
-    """Remove a voter."""
+    """Remove a voter, for example one that was lost."""
     _change(context, operationpaths.VOTERS_REMOVE, {"id": voter}, as_json)
 
 
--- a/packages/cli/src/coltsfoothead/cli/main.py
+++ b/packages/cli/src/coltsfoothead/cli/main.py
@@ -21,12 +21,25 @@
 __all__ = ["app", "main"]
 
 # Without markup mode typer prints errors and help as plain text.
-app = typer.Typer(help="Operate coltsfoothead.", add_completion=False, rich_markup_mode=None)
+app = typer.Typer(
+    help=(
+        "Operate coltsfoothead through any daemon of an installation.\n\n"
+        "The options below stand before the command and say which installation: addresses of "
+        "daemons with a token file, or a named target from a targets file."
+    ),
+    add_completion=False,
+    rich_markup_mode=None,
+)
 configcommands.add_commands(app)
 readcommands.add_commands(app)
 fleetcommands.add_commands(app)
 
-_Seconds = Annotated[float, typer.Option(min=0.001, max=3600)]
+_ConnectSeconds = Annotated[
+    float, typer.Option(min=0.001, max=3600, help="Bound on connecting to one address.")
+]
+_AnswerSeconds = Annotated[
+    float, typer.Option(min=0.001, max=3600, help="Bound on one answer after connecting.")
+]
 
 
 @app.callback()
@@ -34,19 +47,23 @@
     context: typer.Context,
     address: Annotated[
         str | None,
-        typer.Option(help=f"IP:port[,IP:port...]; else {targets.ADDRESS_VARIABLE}."),
+        typer.Option(
+            help=f"Operators' addresses, IP:port[,IP:port...]. Default: {targets.ADDRESS_VARIABLE}."
+        ),
     ] = None,
     token_file: Annotated[
         str | None,
-        typer.Option(help=f"File of the bearer token; else {targets.TOKEN_VARIABLE}."),
+        typer.Option(help=f"File that holds the bearer token. Default: {targets.TOKEN_VARIABLE}."),
+    ] = None,
+    target: Annotated[
+        str | None, typer.Option(help="Name of a target in the targets file; excludes --address.")
     ] = None,
-    target: Annotated[str | None, typer.Option(help="Name of a target in the file.")] = None,
     targets_file: Annotated[
         str | None,
-        typer.Option(help=f"TOML file of targets; else {targets.TARGETS_VARIABLE}."),
+        typer.Option(help=f"TOML file of targets. Default: {targets.TARGETS_VARIABLE}."),
     ] = None,
-    connect_timeout_seconds: _Seconds = httpclient.CONNECT_SECONDS,
-    timeout_seconds: _Seconds = httpclient.ANSWER_SECONDS,
+    connect_timeout_seconds: _ConnectSeconds = httpclient.CONNECT_SECONDS,
+    timeout_seconds: _AnswerSeconds = httpclient.ANSWER_SECONDS,
 ) -> None:
     selection = targets.Selection(address, token_file, target, targets_file)
     timeouts = httpclient.Timeouts(connect_timeout_seconds, timeout_seconds)
--- a/packages/cli/src/coltsfoothead/cli/readcommands.py
+++ b/packages/cli/src/coltsfoothead/cli/readcommands.py
@@ -14,7 +14,7 @@
 _config = typer.Typer(help="Show the environment document and its history.")
 _request = typer.Typer(help="Show single requests.")
 
-_Changes = Annotated[bool, typer.Option("--changes", help="Show what each change did.")]
+_Changes = Annotated[bool, typer.Option("--changes", help="Also show what each change did.")]
 
 
 def add_commands(app: typer.Typer) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/main.py
+++ b/packages/daemon/src/coltsfoothead/daemon/main.py
@@ -15,8 +15,11 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 3
 
-program = typer.Typer(add_completion=False, help="The coltsfoothead serving daemon.")
-SettingsFile = Annotated[str, typer.Argument(help="Settings file (TOML).")]
+# Without markup mode typer prints errors and help as plain text.
+program = typer.Typer(
+    help="The coltsfoothead serving daemon.", add_completion=False, rich_markup_mode=None
+)
+SettingsFile = Annotated[str, typer.Argument(metavar="FILE", help="Settings file (TOML).")]
 
 
 @program.command()
