Refuse documents that name policies which do not exist

A document with routing = "nosuch" passed check and apply and came into force; every model request then ended with 500 and execution unknown, since the router raised UnknownPluginError. Change: kernel.policycheck compares [policies] with the registry; the command line does it when it reads a file and the daemon before it proposes a change. Tests in test_registry and test_cli_changes. Ruled out: the check inside environment.decode, since an older daemon has to decode a document in force that names a newer policy during an upgrade. No automatic test covers the daemon's side yet. Conclusion: the mistake is seen before anything is changed.

--- a/packages/cli/src/coltsfoothead/cli/documents.py
+++ b/packages/cli/src/coltsfoothead/cli/documents.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from coltsfoothead.cli import errors
-from coltsfoothead.kernel import environment
+from coltsfoothead.kernel import environment, policycheck
 
 __all__ = ["Document", "load", "parse", "rename"]
 
@@ -38,7 +38,9 @@
         text = path.read_bytes().decode("utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise environment.EnvironmentError(str(path), "$", f"cannot be read: {error}") from error
-    return parse(text, str(path))
+    document = parse(text, str(path))
+    policycheck.check(document.content, str(path))
+    return document
 
 
 def parse(text: str, source: str) -> Document:
--- a/packages/cli/tests/test_cli_changes.py
+++ b/packages/cli/tests/test_cli_changes.py
@@ -49,6 +49,10 @@
             (False, "$.environment"), (json.loads(out)["valid"], json.loads(out)["key"])
         )
         self.assertRegex(err, r"^error: invalid_document: .*bad.toml: \$.environment: .*`str`")
+        unknown = self.write("unknown.toml", standin.DOCUMENT + '[policies]\nrouting = "nosuch"\n')
+        code, _, err = self.run_plain("check", unknown)
+        self.assertEqual(_CODE.INVALID_DOCUMENT, code)
+        self.assertRegex(err, r"\$.policies.routing: no routing policy is named 'nosuch'")
         for name in (str(self.folder / "missing.toml"), str(self.folder)):
             self.assertEqual(_CODE.INVALID_DOCUMENT, self.run_plain("check", name)[0])
 
--- a/packages/daemon/src/coltsfoothead/daemon/control/configuration.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/configuration.py
@@ -14,7 +14,7 @@
 from coltsfoothead.coordination.transport import links as links_module
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon.control import loghost, proposer
-from coltsfoothead.kernel import environment
+from coltsfoothead.kernel import environment, policycheck
 
 __all__ = ["Configuration", "IN_FORCE_SECONDS"]
 
@@ -114,7 +114,7 @@
         QuorumLostError, UnknownOutcomeError
             If it could not be committed.
         """
-        environment.decode(document, "document")
+        policycheck.check(environment.decode(document, "document"))
         command = commands.Apply(
             change_id, author, version, digest, document.encode(), time.time_ns() // 1_000_000
         )
--- a/packages/kernel/tests/test_registry.py
+++ b/packages/kernel/tests/test_registry.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from coltsfoothead.kernel import errors, registry
+from coltsfoothead.kernel import environment, errors, policycheck, registry
 
 
 class RegistryTest(unittest.TestCase):
@@ -17,3 +17,12 @@
         registry.register("listed", "one")(len)
         with self.assertRaisesRegex(errors.UnknownPluginError, "known: one"):
             registry.resolve("listed", "two")
+
+    def test_a_document_that_names_an_unknown_policy_is_refused(self):
+        """Guards against a document whose every request then fails inside the daemon."""
+        policycheck.check(environment.decode('environment = "trial"'))
+        for kind in environment.Policies.__struct_fields__:
+            text = f'environment = "trial"\n[policies]\n{kind} = "nosuch"'
+            with self.subTest(kind), self.assertRaises(environment.EnvironmentError) as caught:
+                policycheck.check(environment.decode(text))
+            self.assertEqual(f"$.policies.{kind}", caught.exception.key)
