--- a/packages/cli/src/coltsfoothead/cli/documents.py
+++ b/packages/cli/src/coltsfoothead/cli/documents.py
@@ -38,14 +38,14 @@
         text = path.read_bytes().decode("utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise environment.EnvironmentError(str(path), "$", f"cannot be read: {error}") from error
-    return parse(text, str(path))
+    document = parse(text, str(path))
+    policycheck.check(document.content, str(path))
+    return document
 
 
 def parse(text: str, source: str) -> Document:
     """Checks the text of a document; `source` names it in errors."""
-    content = environment.decode(text, source)
-    policycheck.check_policies(content, source)
-    return Document(text, content)
+    return Document(text, environment.decode(text, source))
 
 
 def rename(document: Document, name: str) -> Document:
--- a/packages/daemon/src/coltsfoothead/daemon/control/configuration.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/configuration.py
@@ -114,7 +114,7 @@
         QuorumLostError, UnknownOutcomeError
             If it could not be committed.
         """
-        policycheck.check_policies(environment.decode(document, "document"), "document")
+        policycheck.check(environment.decode(document, "document"))
         command = commands.Apply(
             change_id, author, version, digest, document.encode(), time.time_ns() // 1_000_000
         )
--- a/packages/kernel/src/coltsfoothead/kernel/policycheck.py
+++ b/packages/kernel/src/coltsfoothead/kernel/policycheck.py
@@ -1,27 +1,26 @@
-"""Checks that the policies which a document names exist."""
+"""Checks that the policies that an environment document names exist."""
 
-from coltsfoothead.kernel import environment, errors, plugins, registry
+from coltsfoothead.kernel import environment, plugins, registry
 
-__all__ = ["check_policies"]
+__all__ = ["check"]
 
 
-def check_policies(document: environment.Environment, source: str = "environment") -> None:
-    """Checks every policy name of a document.
-
-    Parameters
-    ----------
-    document : Environment
-    source : str
-        Name of the file, used in errors.
+def check(document: environment.Environment, source: str = "document") -> None:
+    """Checks the names in ``[policies]``, before a document is put in force.
 
     Raises
     ------
     EnvironmentError
-        If a name is not registered; the message lists those that are.
+        Naming the key and the known policies of its kind.
+
+    Notes
+    -----
+    `environment.decode` does not do this: during an upgrade an older daemon has to decode a
+    document in force that names a newer policy.
     """
     plugins.load()
-    for kind in environment.Policies.__struct_fields__:
-        try:
-            registry.resolve(kind, getattr(document.policies, kind))
-        except errors.UnknownPluginError as error:
-            raise environment.EnvironmentError(source, f"$.policies.{kind}", str(error)) from error
+    for kind in document.policies.__struct_fields__:
+        name, known = getattr(document.policies, kind), registry.names(kind)
+        if name not in known:
+            problem = f"no {kind} policy is named {name!r}; known: {', '.join(known)}"
+            raise environment.EnvironmentError(source, f"$.policies.{kind}", problem)
