Drop the configuration's change callback, which nothing used

Cause: the callback was planned for limits, which now read the document themselves. Change: removed.

--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -200,7 +200,6 @@
             self._links,
             self._proposer,
             lambda: self._membership.members,
-            lambda _: None,
             self._metrics,
             self._clock,
         )
--- a/packages/daemon/src/coltsfoothead/daemon/control/configuration.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/configuration.py
@@ -42,8 +42,6 @@
     proposals : Proposer
     members : callable
         Returns the records of the members by ID.
-    changed : callable
-        Called with the new document after each change.
     metrics : Metrics
     clock : callable
     """
@@ -55,7 +53,6 @@
         links: links_module.Links,
         proposals: proposer.Proposer,
         members: Callable[[], Mapping[str, members_module.Member]],
-        changed: Callable[[environment.Environment], None],
         metrics: metrics_module.Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -65,7 +62,6 @@
         self._links = links
         self._proposals = proposals
         self._members = members
-        self._changed = changed
         self._clock = clock
         self._client = lease.LeaseClient()
         self._choice = tree.ParentChoice()
@@ -179,7 +175,6 @@
             logging.error("daemon %s: version %d: %s", self._own_id, held.version, error)
             return
         logging.info("daemon %s: configuration version %d in force", self._own_id, held.version)
-        self._changed(self._environment)
 
     def _note_validity(self) -> None:
         valid = self._client.valid(self._clock())
