--- a/packages/daemon/src/coltsfoothead/daemon/serving/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/admission.py
@@ -36,6 +36,8 @@
     document : callable
         Returns the environment document, or None.
     predictor : Predictor
+    refused : callable
+        Takes the organisation of a request that was refused for lack of capacity.
     metrics : Metrics
     clock : callable
         Monotonic seconds.
@@ -46,12 +48,14 @@
         self,
         document: Callable[[], environment.Environment | None],
         predictor: prediction.Predictor,
+        refused: Callable[[str], None],
         metrics: metrics_module.Metrics,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._document = document
         self._predictor = predictor
+        self._refused = refused
         self._metrics = metrics
         self._clock = clock
         self._groups: dict[str, _Group] = {}
@@ -80,6 +84,10 @@
         request.on_end(lambda: self._leave(name))
         try:
             await self._enter(organisation, request)
+        except refusals.RefusedError:
+            request.close()
+            self._refused(name)
+            raise
         except BaseException:
             request.close()
             raise
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -114,7 +114,9 @@
                 metrics,
                 clock,
             )
-        self.admission = admission.Admission(readiness.latest, self.predictor, metrics, clock, rng)
+        self.admission = admission.Admission(
+            readiness.latest, self.predictor, self.service_level.refused, metrics, clock, rng
+        )
         self._context = generation.Context(
             client,
             self.router,
