Give a voter that comes back 6 s to show the accepted changes in its history

Cause: test_faults.py failed once in `kill -9/sent` with "P7 d1: accepted change change-1-0 is missing". A restarted voter is ready as soon as it holds the document and its lease, which it gets from the leader; its own replica learns what is committed with the leader's next message, so `/config/history` lags for a moment. The property's bound is 6 s, and the check applied none.

Change: the history is read again until it is complete, for at most 6 s; after that every missing change is a breach. The check of `/status` is unchanged.

--- a/packages/testsupport/src/coltsfoothead/testsupport/faults/world.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/faults/world.py
@@ -360,23 +360,32 @@
         status = await self.cluster.operators(name, "GET", "/status")
         if status["control_log"] is None:
             return
-        history = await self.cluster.operators(name, "GET", "/config/history")
-        kept = {entry["change_id"]: entry for entry in history["entries"]}
-        oldest = min((entry["version"] for entry in history["entries"]), default=0)
-        for change in self.watch.accepted:
-            entry = kept.get(change.change_id)
-            if entry is None and change.version < oldest and history["truncated"]:
-                continue
-            if entry is None or (entry["version"], entry["digest"]) != (
-                change.version,
-                change.digest,
-            ):
-                self.problems.append(f"P7 {name}: accepted change {change.change_id} is missing")
+        # A voter that has just come back learns what is committed with the leader's next message.
+        deadline = time.monotonic() + watch.IN_FORCE_SECONDS
+        while missing := await self._missing(name):
+            if time.monotonic() > deadline:
+                self.problems += [
+                    f"P7 {name}: accepted change {each} is missing" for each in missing
+                ]
+                break
+            await asyncio.sleep(RETRY_SECONDS)
         if status["ready"] and status["config_version"] < newest.version:
             late = time.monotonic() - newest.at - watch.IN_FORCE_SECONDS
             if late > 0:
                 self.problems.append(f"P7 {name}: ready without version {newest.version}")
 
+    async def _missing(self, name: str) -> list[str]:
+        """Returns the accepted changes that a voter's history lacks or has otherwise."""
+        history = await self.cluster.operators(name, "GET", "/config/history")
+        kept = {each["change_id"]: (each["version"], each["digest"]) for each in history["entries"]}
+        oldest = min((version for version, _ in kept.values()), default=0)
+        return [
+            change.change_id
+            for change in self.watch.accepted
+            if kept.get(change.change_id) != (change.version, change.digest)
+            and not (history["truncated"] and change.version < oldest)
+        ]
+
     def _vm_changed(self, change: str, vm: cloud.Vm) -> None:
         name = vm.id.removeprefix("vm-")
         if change == "reclaimed" and self.running(name):
