Number attempts by owner epoch; count the entries that share slots; call answers long from 129 tokens

Cause: (1) the matrix showed "attempt 2 was executed 2 times" under SIGSTOP and SIGCONT at three steps: the suspended owner and the one that took over both started attempt 2, and a cancel by one would have hit the other's. (2) Each entry placed long work as if it were alone. (3) Answers counted as long from 1,000 tokens, so that none of the repair desk's kind did. Change: attempts of an epoch start at epoch x 1000; the router states the number of live daemons; the predictor's limit is 129 tokens, about 4 s of decoding. Ruled out: cancelling by epoch as well, since engines know request and attempt only.

--- a/packages/daemon/src/coltsfoothead/daemon/serving/prediction.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/prediction.py
@@ -10,6 +10,8 @@
 
 # Rough length of a token in characters; only relative sizes matter to the policies.
 CHARACTERS_PER_TOKEN = 4
+# About 4 s of decoding at 34 ms between tokens; tags and part summaries are shorter.
+LONG_TOKENS = 129.0
 
 
 class Predictor:
@@ -50,7 +52,8 @@
         document = self._document()
         name = document.policies.prediction if document else "outputlength"
         if name not in self._policies:
-            self._policies[name] = registry.resolve("prediction", name)()
+            settings = outputlength.OutputLengthSettings(long_tokens=LONG_TOKENS)
+            self._policies[name] = registry.resolve("prediction", name)(settings)
         return self._policies[name]
 
     def _ended(self, request: requests.ModelRequest) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/serving/replication.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/replication.py
@@ -18,6 +18,7 @@
 __all__ = ["Replication"]
 
 CHANNEL = "guard"
+ATTEMPTS_PER_EPOCH = 1000
 
 
 class Replication:
@@ -164,6 +165,9 @@
         """Becomes the owner of a guarded request and goes on with it."""
         held = self._guardian.take_over(request_id, epoch, self._clock())
         request = records.restore(held, self._clock())
+        # A former owner that was only suspended may still start attempts; engines know and cancel
+        # attempts by number, so two owners must not use the same ones.
+        request.attempt = max(request.attempt, epoch * ATTEMPTS_PER_EPOCH)
         self._table.add(request)
         self._owner.adopt(request, epoch, held)
         logging.info(
--- a/packages/daemon/src/coltsfoothead/daemon/serving/router.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/router.py
@@ -63,6 +63,8 @@
         Returns the environment document, or None.
     place : Place
     predictor : Predictor
+    entries : callable
+        Returns the number of daemons that route to the same upstreams.
     clock : callable
     rng : random.Random
     """
@@ -73,6 +75,7 @@
         document: Callable[[], environment.Environment | None],
         place: Place,
         predictor: prediction.Predictor,
+        entries: Callable[[], int],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -80,6 +83,7 @@
         self._document = document
         self._place = place
         self._predictor = predictor
+        self._entries = entries
         self._clock = clock
         self._rng = rng
         self._observer = observation.Observer()
@@ -121,6 +125,7 @@
             now=now,
             candidates=candidates,
             upstreams=_Views(records, lambda record: self._upstream_view(record, now)),
+            sharing_entries=self._entries(),
         )
         policy = self._policy(document.policies.routing if document else "completion")
         decision = policy.choose(view, snapshot, self._rng)
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -98,6 +98,7 @@
             readiness.latest,
             router.Place(own.id, own.region, own.zone),
             self.predictor,
+            self._entries,
             clock,
             rng,
         )
@@ -259,6 +260,11 @@
             target = document.targets.first_token_seconds
             self.admission.first_token(request.model, seconds, target)
 
+    def _entries(self) -> int:
+        """Returns the number of live daemons; each of them routes to the same upstreams."""
+        members = self._membership.members.values()
+        return sum(member.state <= members_module.State.SUSPECT for member in members)
+
     def _is_lost(self, member: str, incarnation: int) -> bool:
         """Returns whether a daemon's incarnation has left, died or been restarted."""
         known = self._membership.members.get(member)
