Answer requests on their way while stopping; let load reports count for 5 s

Change: a stopping server answers for 0.3 s what arrives on open connections, a drain lasts at least 0.5 s so that the balancer sees it, listeners stop side by side; report memory 5 s. Conclusion: the reset is gone in its test; head-of-line blocking stays open.

--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -138,8 +138,8 @@
 
     async def stop(self) -> None:
         """Stops what was started, the listeners first."""
-        for listener in self._listeners if hasattr(self, "_listeners") else ():
-            await listener.stop(STOP_GRACE_SECONDS)
+        if hasattr(self, "_listeners"):
+            await asyncio.gather(*(each.stop(STOP_GRACE_SECONDS) for each in self._listeners))
         if hasattr(self, "_traffic"):
             await self._traffic.stop()
         for task in self._tasks:
--- a/packages/daemon/src/coltsfoothead/daemon/http/server.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/server.py
@@ -13,6 +13,7 @@
 
 READ_BYTES = 64 * 1024
 DISCARD_SECONDS = 1.0
+LINGER_SECONDS = 0.3
 
 Handler = Callable[["Exchange"], Awaitable[None]]
 ErrorEncoder = Callable[[int, errors.HttpError], message.Response]
@@ -228,10 +229,16 @@
         return f"{bound[0]}:{bound[1]}"
 
     async def stop(self, grace_seconds: float) -> None:
-        """Stops listening, lets running exchanges end, then closes what is left."""
-        self._closing = True
+        """Stops listening, lets running exchanges end, then closes what is left.
+
+        Requests that are on their way on open connections are still answered for a moment;
+        without it a caller that has just connected would see its connection reset.
+        """
         if self._server is not None:
             self._server.close()
+        if self._connections:
+            await asyncio.sleep(min(LINGER_SECONDS, grace_seconds))
+        self._closing = True
         for writer in list(self._idle):
             writer.close()
         if self._connections:
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -43,6 +43,7 @@
 
 EXPIRE_SECONDS = 5.0
 DRAIN_POLL_SECONDS = 0.05
+READINESS_SECONDS = 0.5
 # Time before the end of a notice at which what still runs is handed over.
 HAND_OVER_SECONDS = 2.0
 
@@ -214,8 +215,14 @@
         request.on_end(lambda: task.cancel() if request.moved else None)
 
     async def drain(self, deadline: float) -> None:
-        """Waits until nothing runs, or until it is time to hand over what does."""
-        while self.running and self._clock() < deadline - HAND_OVER_SECONDS:
+        """Waits until nothing runs, or until it is time to hand over what does.
+
+        It lasts long enough for the platform's balancer to see that the daemon is not ready.
+        """
+        seen = min(deadline, self._clock() + READINESS_SECONDS)
+        while self._clock() < seen or (
+            self.running and self._clock() < deadline - HAND_OVER_SECONDS
+        ):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self.replicator.hand_over()
         while self._services.running and self._clock() < deadline:
--- a/packages/daemon/tests/test_http_server.py
+++ b/packages/daemon/tests/test_http_server.py
@@ -163,3 +163,20 @@
             head = await caller.send(address, message.Request("GET", "/", (), b""), 5.0)
             self.assertEqual(await head.read(5.0, 100), b"hi")
             await asyncio.sleep(0.2)
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_on_its_way_is_answered_while_the_server_stops(self):
+        """Guards against resetting a caller that connected just before a graceful stop."""
+        stopping = server.Server(echo, frontend.encode_error, builders.bounds())
+        host, port = (await stopping.start("127.0.0.1", 0)).split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        while not stopping.connections:
+            await asyncio.sleep(0)
+        stop = asyncio.create_task(stopping.stop(5.0))
+        await asyncio.sleep(0)
+        writer.write(WHOLE)
+        received = await asyncio.wait_for(reader.read(), 10)
+        self.assertTrue(received.endswith(b"hi"), received)
+        writer.close()
+        await stop
--- a/packages/kernel/src/coltsfoothead/kernel/routing/completion.py
+++ b/packages/kernel/src/coltsfoothead/kernel/routing/completion.py
@@ -38,7 +38,7 @@
 
     prior_seconds_per_token: float = 0.034
     prior_seconds_per_prefill_token: float = 0.0003
-    report_memory_seconds: float = 1.0
+    report_memory_seconds: float = 5.0
     prior_samples: float = 5.0
     stall_factor: float = 3.0
     short_slot_share: float = 0.25
