Send a test's change again while the voters elect a leader

Change: the test cluster resends under the change ID until the change is settled. Ruled out: lost leases (all members alive, no link dropped, leader known, version 0 everywhere). Conclusion: an operator's resend is what the change ID is for.

--- a/packages/testsupport/src/coltsfoothead/testsupport/cluster.py
+++ b/packages/testsupport/src/coltsfoothead/testsupport/cluster.py
@@ -191,11 +191,23 @@
         return reply.json()
 
     async def apply(self, name: str, text: str, change_id: str, wait: bool = True) -> Any:
-        """Applies a document on top of the one in force."""
+        """Applies a document on top of the one in force.
+
+        While the voters still elect a leader the answer is an error, or its outcome is unknown; the
+        change is then sent again under its ID, as an operator would do.
+        """
         current = await self.operators(name, "GET", "/config")
-        return await self.operators(
-            name, "POST", "/config/apply", self.change(current, text, change_id, wait)
-        )
+        change = self.change(current, text, change_id, wait)
+        answer: dict[str, Any] = {}
+
+        async def settled() -> bool:
+            nonlocal answer
+            answer = await self.operators(name, "POST", "/config/apply", change)
+            code = answer.get("error", {}).get("code")
+            return code != "no_leader" and answer.get("outcome") != "unknown"
+
+        await harness.wait_until(settled, START_SECONDS, f"answer to change {change_id}")
+        return answer
 
     @staticmethod
     def change(
