Name the address that a daemon cannot listen on; say what was started without asking for attributes

Cause: an address in use ended the daemon with a trace of 60 lines and no word of which listener it was; the stop asked by `hasattr` what had been started. Change: a typed error with listener and address; plain traces for faults; fields set at creation. Ruled out: trying another port (operators and the balancer know the addresses by the settings). Conclusion: the error says what to change.

--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -80,7 +80,11 @@
         self._stopping = asyncio.Event()
         self._drain_deadline = 0.0
         self._tasks: list[asyncio.Task[object]] = []
-        self._started: list[object] = []
+        # Set in the order of the start; `stop` ends what was reached.
+        self._logs: loghost.LogHost | None = None
+        self._membership: membership_task.Membership | None = None
+        self._traffic: traffic.Traffic | None = None
+        self._listeners: list[server.Server] = []
         own = settings.daemon
         self._links = links_module.Links(
             own.cluster,
@@ -138,16 +142,16 @@
 
     async def stop(self) -> None:
         """Stops what was started, the listeners first."""
-        if hasattr(self, "_listeners"):
+        if self._listeners:
             await asyncio.gather(*(each.stop(STOP_GRACE_SECONDS) for each in self._listeners))
-        if hasattr(self, "_traffic"):
+        if self._traffic is not None:
             await self._traffic.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if hasattr(self, "_membership"):
+        if self._membership is not None:
             await self._membership.leave()
-        if hasattr(self, "_logs"):
+        if self._logs is not None:
             await self._logs.stop()
         await self._links.stop(STOP_GRACE_SECONDS)
         self._client.close()
@@ -298,11 +302,14 @@
             "operators": operators.handle,
             "callers": frontend.Frontend(self._traffic.routes(), self._metrics).handle,
         }
-        self._listeners = []
         for name, handler in handlers.items():
             listener = server.Server(handler, frontend.encode_error, bounds)
-            host, port = settings_module.split_address(getattr(listen, name))
-            address = await listener.start(host, port)
+            wanted = getattr(listen, name)
+            try:
+                address = await listener.start(*settings_module.split_address(wanted))
+            except OSError as error:
+                text = f"{name} cannot listen on {wanted}: {error.strerror}"
+                raise errors.DaemonError(text) from error
             self._listeners.append(listener)
             logging.info("daemon %s: %s listen on %s", self._settings.daemon.id, name, address)
 
--- a/packages/daemon/src/coltsfoothead/daemon/main.py
+++ b/packages/daemon/src/coltsfoothead/daemon/main.py
@@ -17,7 +17,10 @@
 
 # Without markup mode typer prints errors and help as plain text.
 program = typer.Typer(
-    help="The coltsfoothead serving daemon.", add_completion=False, rich_markup_mode=None
+    help="The coltsfoothead serving daemon.",
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
 )
 SettingsFile = Annotated[str, typer.Argument(metavar="FILE", help="Settings file (TOML).")]
 
--- a/packages/daemon/tests/test_whole_path.py
+++ b/packages/daemon/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """Tests of whole requests through daemons and fakes as separate processes."""
 
 import contextlib
+import socket
 import unittest
 
 import openai
@@ -115,3 +116,20 @@
         counters = (await started.operators("d1", "GET", "/metrics"))["counters"]
         for name in ("batches_out", "messages_in_swim", "bytes_out_swim", "bytes_in_raft-ledger"):
             self.assertGreater(counters[f"link_{name}"], 0)
+
+
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_address_in_use_is_a_clear_error(self):
+        """Guards against a start that fails with a trace in place of the address."""
+        async with harness.Harness() as children:
+            started = cluster.Cluster(children, [cluster.DaemonPlace("d1", "home-a")])
+            host, port = started.addresses["d1"]["callers"].split(":")
+            taken = socket.create_server((host, int(port)))
+            self.addCleanup(taken.close)
+            process = await children.start_daemon(
+                "d1", started.settings("d1"), started.callers[0], wait=False
+            )
+            self.assertEqual(await process.wait(), 1)
+            output = process.output()
+            self.assertIn(f"callers cannot listen on {host}:{port}", output)
+            self.assertNotIn("Traceback", output)
