Never limit requests below the slots that are free

Change: the limit is at least the daemon's share of the routable upstreams' slots. Ruled out: a higher first limit, which would let an overload queue at small fleets for half a minute.

--- a/packages/daemon/src/coltsfoothead/daemon/serving/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/admission.py
@@ -38,6 +38,8 @@
     predictor : Predictor
     refused : callable
         Takes the organisation of a request that was refused for lack of capacity.
+    slots : callable
+        Takes a model; returns this daemon's share of the slots of its upstreams.
     metrics : Metrics
     clock : callable
         Monotonic seconds.
@@ -49,6 +51,7 @@
         document: Callable[[], environment.Environment | None],
         predictor: prediction.Predictor,
         refused: Callable[[str], None],
+        slots: Callable[[str], int],
         metrics: metrics_module.Metrics,
         clock: Callable[[], float],
         rng: random.Random,
@@ -56,6 +59,7 @@
         self._document = document
         self._predictor = predictor
         self._refused = refused
+        self._slots = slots
         self._metrics = metrics
         self._clock = clock
         self._groups: dict[str, _Group] = {}
@@ -129,7 +133,7 @@
             return
         now = self._clock()
         group.limit.sample(seconds, target_seconds, group.queue.inflight, now)
-        self._apply(group, group.queue.set_limit(group.limit.limit, now))
+        self._set_limit(group, model, now)
 
     async def run(self) -> None:
         """Refuses waiting requests whose time is over, until cancelled."""
@@ -149,6 +153,7 @@
         group.weights[organisation.name] = organisation.weight
         view = self._view(request)
         now = self._clock()
+        self._set_limit(group, request.model, now)
         first, *others = group.queue.offer(view, now)
         request.on_end(lambda: self._release(group, request.request_id))
         self._apply(group, others)
@@ -162,6 +167,11 @@
             self._metrics.count("admissions_refused")
             raise _overloaded(first.retry_after_seconds)
 
+    def _set_limit(self, group: _Group, model: str, now: float) -> None:
+        """Sets the adaptive limit, but never below the slots that are there to be used."""
+        limit = max(group.limit.limit, self._slots(model))
+        self._apply(group, group.queue.set_limit(limit, now))
+
     async def _wait(self, group: _Group, request_id: str, patience: float) -> decisions.Decision:
         future = asyncio.get_running_loop().create_future()
         group.waiting[request_id] = future
--- a/packages/daemon/src/coltsfoothead/daemon/serving/router.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/router.py
@@ -99,6 +99,16 @@
         figures = self._observer.figures(upstream, self._clock())
         return figures.inflight + self._service_calls[upstream]
 
+    def slots(self, model: str) -> int:
+        """Returns this daemon's share of the slots of the upstreams that serve a model."""
+        document = self._document()
+        total = sum(
+            record.slots
+            for record in self._directory.routable(self._clock())
+            if record.kind == "model" and _serves(record, model, document)
+        )
+        return math.ceil(total / max(1, self._entries()))
+
     def figures(self, upstream: str) -> views.Figures:
         """Returns what this daemon observed of an upstream."""
         return self._observer.figures(upstream, self._clock())
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -117,7 +117,13 @@
                 clock,
             )
         self.admission = admission.Admission(
-            readiness.latest, self.predictor, self.service_level.refused, metrics, clock, rng
+            readiness.latest,
+            self.predictor,
+            self.service_level.refused,
+            self.router.slots,
+            metrics,
+            clock,
+            rng,
         )
         self._context = generation.Context(
             client,
--- a/packages/daemon/tests/test_admission.py
+++ b/packages/daemon/tests/test_admission.py
@@ -18,6 +18,7 @@
         plugins.load()
         self.document = environment.decode(builders.document(), "sample")
         self.now = 100.0
+        self.slots = 0
         self.metrics = metrics.Metrics()
         latest = self.latest
         self.level = servicelevel.ServiceLevel(latest, self.metrics, self.clock)
@@ -25,6 +26,7 @@
             latest,
             prediction.Predictor(latest),
             self.level.refused,
+            lambda model: self.slots,
             self.metrics,
             self.clock,
             random.Random(1),
@@ -58,6 +60,12 @@
         running[0].finish(requests.Completion("stop", 1, 0), self.now)
         await asyncio.wait_for(task, 5)
 
+    async def test_free_slots_are_used_before_the_limit_has_adapted(self):
+        """Guards against refusing a burst although the upstreams have slots for all of it."""
+        self.slots = 150
+        for _ in range(150):
+            await asyncio.wait_for(self.admission.admit(self.kiosk, self.request()), 5)
+
     async def test_the_organisation_limit_is_refused_as_not_run(self):
         """Guards against an unbounded number of requests of one organisation."""
         few = msgspec.structs.replace(self.kiosk, max_concurrent=3, max_queued=0)
