Let the highest version of a document win beside compare-and-set

Cause: the platform's operators number their documents themselves; the newest number wins and equal or lower ones are acknowledged without effect, which Apply cannot express.

Ruled out: a second state machine, since it would need its own store of documents and updates.

--- a/packages/coordination/src/coltsfoothead/coordination/configuration/__init__.py
+++ b/packages/coordination/src/coltsfoothead/coordination/configuration/__init__.py
@@ -8,6 +8,8 @@
     ChangeReused,
     Conflict,
     DocumentTooLarge,
+    Supersede,
+    Superseded,
 )
 from coltsfoothead.coordination.configuration.state import ConfigurationState, Settings
 
@@ -21,4 +23,6 @@
     "Conflict",
     "DocumentTooLarge",
     "Settings",
+    "Supersede",
+    "Superseded",
 ]
--- a/packages/coordination/src/coltsfoothead/coordination/configuration/commands.py
+++ b/packages/coordination/src/coltsfoothead/coordination/configuration/commands.py
@@ -10,6 +10,8 @@
     "ChangeReused",
     "Conflict",
     "DocumentTooLarge",
+    "Supersede",
+    "Superseded",
 ]
 
 NAME = "configuration"
@@ -40,6 +42,23 @@
     applied_at: int
 
 
+class Supersede(_Message, frozen=True):
+    """Replaces the document if `version` is higher than the current one.
+
+    Parameters
+    ----------
+    version : int
+        Chosen by the author; versions may leave gaps.
+    applied_at : int
+        Wall-clock milliseconds at the proposer.
+    """
+
+    author: str
+    version: int
+    document: bytes
+    applied_at: int
+
+
 class Change(msgspec.Struct, frozen=True):
     """Metadata of an accepted change."""
 
@@ -79,3 +98,10 @@
 
     size: int
     limit: int
+
+
+class Superseded(_Message, frozen=True):
+    """The version is not higher than the current one, which stays as it is."""
+
+    version: int
+    digest: str
--- a/packages/coordination/src/coltsfoothead/coordination/configuration/state.py
+++ b/packages/coordination/src/coltsfoothead/coordination/configuration/state.py
@@ -48,12 +48,13 @@
 
 @registry.register(
     commands.NAME,
-    commands=(commands.Apply,),
+    commands=(commands.Apply, commands.Supersede),
     results=(
         commands.Accepted,
         commands.Conflict,
         commands.ChangeReused,
         commands.DocumentTooLarge,
+        commands.Superseded,
     ),
 )
 class ConfigurationState:
@@ -85,21 +86,14 @@
         """Returns what an asker needs that has the document of this version and digest."""
         return self._documents.since(version, digest)
 
-    def apply(self, index: int, command: commands.Apply) -> msgspec.Struct:
+    def apply(self, index: int, command: commands.Apply | commands.Supersede) -> msgspec.Struct:
         """Applies one command."""
         self._clock = max(self._clock, command.applied_at)
-        digest = delta.digest(command.document)
-        known = self._known(command.change_id, digest)
-        if known is not None:
-            return known
-        if len(command.document) > self._settings.document_limit_bytes:
-            return commands.DocumentTooLarge(
-                len(command.document), self._settings.document_limit_bytes
-            )
-        current = self.current
-        if (command.expected_version, command.expected_digest) != (current.version, current.digest):
-            return self._refuse(command.change_id, digest)
-        return self._accept(command, digest)
+        match command:
+            case commands.Apply():
+                return self._compare_and_set(command)
+            case commands.Supersede():
+                return self._supersede(command)
 
     def snapshot(self) -> bytes:
         """Returns the whole state."""
@@ -130,6 +124,34 @@
         self._by_id: dict[str, commands.Change] = {}
         self._refusals: collections.OrderedDict[str, _Refusal] = collections.OrderedDict()
 
+    def _compare_and_set(self, command: commands.Apply) -> msgspec.Struct:
+        digest = delta.digest(command.document)
+        known = self._known(command.change_id, digest)
+        if known is not None:
+            return known
+        if len(command.document) > self._settings.document_limit_bytes:
+            return commands.DocumentTooLarge(
+                len(command.document), self._settings.document_limit_bytes
+            )
+        current = self.current
+        if (command.expected_version, command.expected_digest) != (current.version, current.digest):
+            return self._refuse(command.change_id, digest)
+        return self._accept(
+            current.version + 1, digest, command.author, command.change_id, command.document
+        )
+
+    def _supersede(self, command: commands.Supersede) -> msgspec.Struct:
+        current = self.current
+        if command.version <= current.version:
+            return commands.Superseded(current.version, current.digest)
+        if len(command.document) > self._settings.document_limit_bytes:
+            return commands.DocumentTooLarge(
+                len(command.document), self._settings.document_limit_bytes
+            )
+        digest = delta.digest(command.document)
+        change_id = f"{command.version}-{digest}"
+        return self._accept(command.version, digest, command.author, change_id, command.document)
+
     def _known(self, change_id: str, digest: str) -> msgspec.Struct | None:
         change = self._by_id.get(change_id)
         refusal = self._refusals.get(change_id)
@@ -154,19 +176,13 @@
             self._refusals.popitem(last=False)
         return answer
 
-    def _accept(self, command: commands.Apply, digest: str) -> commands.Accepted:
-        version = self.current.version + 1
+    def _accept(
+        self, version: int, digest: str, author: str, change_id: str, content: bytes
+    ) -> commands.Accepted:
         self._remember(
-            commands.Change(
-                version,
-                digest,
-                command.author,
-                command.change_id,
-                self._clock,
-                len(command.document),
-            )
+            commands.Change(version, digest, author, change_id, self._clock, len(content))
         )
-        self._documents.add(documents.Document(version, digest, command.document))
+        self._documents.add(documents.Document(version, digest, content))
         return commands.Accepted(version, digest)
 
     def _remember(self, change: commands.Change) -> None:
--- /dev/null
+++ b/packages/coordination/tests/test_supersede.py
@@ -0,0 +1,57 @@
+"""Tests of documents that the highest version wins."""
+
+import random
+import unittest
+
+import machine_builders as builders
+
+from coltsfoothead.coordination import configuration
+from coltsfoothead.coordination.machine import host
+
+
+def supersede(version, text):
+    """Returns a command that puts `text` under `version`."""
+    return configuration.Supersede("operator", version, text.encode(), 0)
+
+
+class HighestVersionTest(unittest.TestCase):
+    def setUp(self):
+        self.log = builders.Log(kinds=host.CONTROL_KINDS)
+        self.state = self.log.machine.state(configuration.NAME)
+
+    def test_other_content_under_the_held_version_changes_nothing(self):
+        """Guards against two operators that both see their document under one version."""
+        self.assertEqual(
+            self.log(supersede(7, "x")), configuration.Accepted(7, builders.digest("x"))
+        )
+        held = configuration.Superseded(7, builders.digest("x"))
+        self.assertEqual(self.log(supersede(7, "y")), held)
+        self.assertEqual(self.log(supersede(7, "x")), held)
+        self.assertEqual(self.log(supersede(3, "z")), held)
+        self.assertEqual(self.state.current.content, b"x")
+
+    def test_any_order_of_arrival_ends_with_the_highest(self):
+        """Guards against a delayed older change that reverts a newer one."""
+        for seed in range(50):
+            versions = list(range(1, 20))
+            random.Random(seed).shuffle(versions)
+            log = builders.Log(kinds=host.CONTROL_KINDS)
+            seen = 0
+            for version in versions:
+                log(supersede(version, f"document {version}"))
+                current = log.machine.state(configuration.NAME).current
+                self.assertGreaterEqual(current.version, seen)
+                seen = current.version
+            copied = log.copy().machine.state(configuration.NAME).current
+            self.assertEqual((copied.version, copied.content), (19, b"document 19"))
+
+    def test_a_document_above_the_limit_is_refused_before_it_is_stored(self):
+        """Guards against a document that no replica could hand on."""
+        limit = configuration.Settings().document_limit_bytes
+        answer = self.log(supersede(1, "x" * (limit + 1)))
+        self.assertEqual(answer, configuration.DocumentTooLarge(limit + 1, limit))
+        self.assertEqual(self.state.current.version, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
