--- a/Makefile
+++ b/Makefile
@@ -9,23 +9,23 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --requirement requirements.lock
 	$(BIN)/python -m pip install --quiet --no-build-isolation --no-deps \
-		$(foreach package,$(PACKAGES),--editable packages/$(package))
+		$(foreach package,$(PACKAGES),--editable packages/$(package)) --editable platform
 	touch $@
 
 test: $(STAMP)
 	$(BIN)/python tools/runtests.py
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet packages tools
-	$(BIN)/ruff check --quiet packages tools
+	$(BIN)/black --check --quiet packages platform tools
+	$(BIN)/ruff check --quiet packages platform tools
 
 format: $(STAMP)
-	$(BIN)/black --quiet packages tools
-	$(BIN)/ruff check --quiet --fix packages tools
+	$(BIN)/black --quiet packages platform tools
+	$(BIN)/ruff check --quiet --fix packages platform tools
 
 demo: $(STAMP)
 	$(BIN)/python -m coltsfoothead.testsupport.demo
--- a/packages/daemon/src/coltsfoothead/daemon/control/leases.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/leases.py
@@ -54,6 +54,8 @@
     ttl_seconds : float
     proposals : Proposer
     clock : callable
+    wanted : callable, optional
+        Returns whether this daemon should hold the lease now; a held one runs out otherwise.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         ttl_seconds: float,
         proposals: proposer.Proposer,
         clock: Callable[[], float],
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._wanted = wanted
         self._resource = resource
         self._holder = holder
         self._incarnation = incarnation
@@ -128,6 +132,8 @@
             logging.debug("lease %s not released: %s", self._resource, error)
 
     async def _step(self) -> None:
+        if not self._wanted():
+            return
         asked_at = self._clock()
         if not self.held():
             command = commands.Grant(
--- a/packages/daemon/src/coltsfoothead/daemon/control/loghost.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/loghost.py
@@ -1,5 +1,6 @@
 """Runs this daemon's replicas of the logs and connects them to the links."""
 
+import dataclasses
 import pathlib
 import random
 from collections.abc import Callable, Mapping
@@ -34,6 +35,10 @@
     clock : callable
     rng : random.Random
     require_zone_spread : bool
+    logs : mapping of str to tuple of str, optional
+        State machines of each log.
+    settings : Settings, optional
+        Times and limits of the logs; the zone spread is taken from `require_zone_spread`.
 
     Raises
     ------
@@ -51,13 +56,17 @@
         clock: Callable[[], float],
         rng: random.Random,
         require_zone_spread: bool,
+        logs: Mapping[str, tuple[str, ...]] | None = None,
+        settings: replication_settings.Settings | None = None,
     ) -> None:
         self._links = links
         self._replica = replica
         self._machines: dict[str, host.Machine] = {}
         self._tasks: dict[str, replication_task.LogTask] = {}
-        settings = replication_settings.Settings(require_zone_spread=require_zone_spread)
-        for name, kinds in LOGS.items() if data_folder else ():
+        settings = dataclasses.replace(
+            settings or replication_settings.Settings(), require_zone_spread=require_zone_spread
+        )
+        for name, kinds in (logs or LOGS).items() if data_folder else ():
             opened = folder.ReplicaFolder(
                 disk.DirectoryDisk(data_folder / name), f"{cluster}/{name}", replica, rng
             )
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that serve routes: the entry before the callers, and the control role behind it."""
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -0,0 +1,141 @@
+"""Takes a request in: match its route, find its organisation, charge its quota."""
+
+import random
+from collections.abc import Callable
+
+from coltsfoothead.daemon.gateway import clock, documentcopy, failures, flight, ports, shares
+from coltsfoothead.daemon.http import message
+from coltsfoothead.kernel.traffic import document, placement, quota, routetable
+
+__all__ = ["Admission", "RETURN_SECONDS"]
+
+# The answer that a request has timed out leaves this much sooner, so that it arrives in time.
+ANSWER_MARGIN_SECONDS = 0.02
+# Range of the time after which a refused caller should return; spread, so that callers that were
+# refused together do not return together.
+RETURN_SECONDS = (0.25, 1.0)
+# Longest time for which a caller over its quota is sent away; its share may grow meanwhile.
+QUOTA_RETURN_SECONDS = 5.0
+
+
+class Admission:
+    """Admits requests at one entry.
+
+    Parameters
+    ----------
+    documents : DocumentCopy
+    limits : Shares
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        documents: documentcopy.DocumentCopy,
+        limits: shares.Shares,
+        rng: random.Random,
+    ) -> None:
+        self._documents = documents
+        self._shares = limits
+        self._rng = rng
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Refuses new requests from now on."""
+        self._stopped = True
+
+    def admit(
+        self,
+        request: message.Request,
+        call: ports.Call,
+        started: float,
+        asked: Callable[[flight.Flight], None],
+    ) -> flight.Flight:
+        """Returns an admitted request.
+
+        Parameters
+        ----------
+        request : Request
+        call : Call
+        started : float
+            Time of the event loop at which the request had arrived.
+        asked : callable
+            Told of every request that the document allows, also of those over a quota.
+
+        Raises
+        ------
+        RefusedError
+        """
+        if self._stopped:
+            raise self.refused(ports.RefusalReason.STOPPING)
+        table = self._documents.table
+        if table is None:
+            raise self.refused(ports.RefusalReason.NOT_READY)
+        route = table.match(request.header("host") or "", request.path)
+        if route is None:
+            raise failures.RefusedError(ports.Refusal(ports.RefusalReason.NO_ROUTE))
+        organisation = self._authenticate(table, route, call)
+        seconds = route.timeout_seconds
+        if call.budget_seconds is not None:
+            seconds = min(seconds, call.budget_seconds)
+        work = flight.Flight(
+            request,
+            call,
+            route,
+            self._pick_service(route),
+            organisation,
+            table.routing.version,
+            started,
+            started + seconds - ANSWER_MARGIN_SECONDS,
+            _prompt(call),
+        )
+        asked(work)
+        self._charge(work)
+        return work
+
+    def refused(self, reason: ports.RefusalReason, cause: str = "") -> failures.RefusedError:
+        """Returns the error for a request that has not run and may come back."""
+        wait = self._rng.uniform(*RETURN_SECONDS)
+        return failures.RefusedError(ports.Refusal(reason, wait), cause)
+
+    def give_back(self, work: flight.Flight) -> None:
+        """Returns the charge of a request that did not run."""
+        if work.organisation is not None and work.charged:
+            self._shares.give_back(work.organisation, work.charged)
+            work.charged = 0.0
+
+    @staticmethod
+    def _authenticate(
+        table: routetable.RouteTable, route: document.Route, call: ports.Call
+    ) -> document.Organisation | None:
+        organisation = table.organisation(call.key) if call.key is not None else None
+        if organisation is None and not route.public and table.routing.organisations:
+            raise failures.RefusedError(ports.Refusal(ports.RefusalReason.NO_KEY))
+        return organisation
+
+    def _pick_service(self, route: document.Route) -> str:
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [target.weight for target in route.targets]
+        return self._rng.choices(route.targets, weights)[0].service
+
+    def _charge(self, work: flight.Flight) -> None:
+        organisation = work.organisation
+        if organisation is None or organisation.quota is None:
+            return
+        now = clock.steady()
+        amount = quota.cost(organisation.quota, work.call.tokens)
+        if not self._shares.admit(organisation, amount, now):
+            wait = min(self._shares.wait_seconds(organisation, now), QUOTA_RETURN_SECONDS)
+            wait += self._rng.uniform(*RETURN_SECONDS)
+            raise failures.RefusedError(ports.Refusal(ports.RefusalReason.OVER_QUOTA, wait))
+        work.charged = amount
+
+
+def _prompt(call: ports.Call) -> placement.Prompt | None:
+    """Returns the sizes of a request's prompt; None for requests of plain services."""
+    if call.prompt_tokens is None:
+        return None
+    shared = call.parts[:-1]
+    shared_tokens = sum(part.tokens for part in shared)
+    key = shared[-1].id if shared else ""
+    return placement.Prompt(key, shared_tokens, max(0, call.prompt_tokens - shared_tokens))
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -0,0 +1,324 @@
+"""The control role: keeps the document, the directory and the duties."""
+
+import asyncio
+import pathlib
+import random
+
+from coltsfoothead.coordination import (
+    configuration,
+    writeonce,
+)
+from coltsfoothead.coordination import (
+    lease as lease_machine,
+)
+from coltsfoothead.coordination.configuration import lease
+from coltsfoothead.coordination.replication import settings as replication_settings
+from coltsfoothead.coordination.transport import links as links_module
+from coltsfoothead.daemon import errors
+from coltsfoothead.daemon import metrics as metrics_module
+from coltsfoothead.daemon import settings as daemon_settings
+from coltsfoothead.daemon.control import leases, loghost, proposer
+from coltsfoothead.daemon.gateway import (
+    clock,
+    controlapi,
+    directory,
+    documentcopy,
+    duties,
+    entry,
+    eventlog,
+    exchange,
+    following,
+    formation,
+    identity,
+    leaderlink,
+    metricspage,
+    ports,
+    settings,
+    termkeeper,
+)
+from coltsfoothead.daemon.http import client as http_client
+from coltsfoothead.daemon.http import server
+
+__all__ = ["Control"]
+
+LOGS = {loghost.CONTROL: (configuration.NAME, lease_machine.NAME, writeonce.NAME)}
+# Documents are large beside the entries that renew leases, so snapshots come more often.
+REPLICATION = replication_settings.Settings(snapshot_entries=400, retained_entries=100)
+# Part of the time until a withdrawn key must be refused for which a document may be acted on; the
+# rest is for requests that wait at an entry.
+LEASE_PART = 0.8
+# The operator's client waits a second before it asks another process.
+PROPOSAL_SECONDS = 2.5
+DUTIES = "duties"
+# The lease of the duties lasts a little longer than the platform's, so that two holders cannot
+# both act within one of its leases.
+DUTIES_LEASE_PART = 1.1
+STOP_SECONDS = 1.5
+OPEN_RETRY_SECONDS = 0.5
+BODY_BYTES = 8 * 1024 * 1024
+BOUNDS = server.Bounds(
+    body_bytes=BODY_BYTES,
+    header_bytes=32 * 1024,
+    receive_seconds=5.0,
+    idle_seconds=30.0,
+    connections=1500,
+)
+
+
+class Control:
+    """One control process.
+
+    Parameters
+    ----------
+    configured : Settings
+    dialect : ControlDialect
+    cloud : CloudDialect
+    """
+
+    def __init__(
+        self,
+        configured: settings.Settings,
+        dialect: ports.ControlDialect,
+        cloud: ports.CloudDialect,
+    ) -> None:
+        self._settings = configured
+        self._dialect = dialect
+        self._cloud = cloud
+        self._events = eventlog.EventLog(configured.process.id)
+        self._metrics = metrics_module.Metrics()
+        self._rng = random.Random()
+        self._client = http_client.Client(entry.CONNECT_SECONDS)
+        self._documents = documentcopy.DocumentCopy(dialect, self._events)
+        self._copy = directory.DirectoryCopy()
+        self._servers: list[server.Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Opens the disk, joins the others and starts listening."""
+        own = self._settings.process
+        self._address = f"{own.address}:{self._settings.peers.port}"
+        await self._open()
+        self._link = leaderlink.LeaderLink(
+            self._links, self._peer_seeds(self._settings), self._events, self._rng
+        )
+        joining = exchange.Joining(self._identity.replica, self._address, own.zone)
+        self._formation = formation.Formation(self._logs, self._link, joining, self._events)
+        lease_seconds = LEASE_PART * self._settings.document.revoke_seconds
+        due = self._settings.usage.due_seconds + 2 * self._settings.usage.window_seconds
+        self._terms = termkeeper.TermKeeper(
+            self._logs,
+            self._documents,
+            self._copy,
+            self._identity.replica,
+            self._settings.announcements.interval_seconds,
+            lease_seconds,
+            due,
+            self._formation.controls,
+            self._events,
+        )
+        self._proposals = proposer.Proposer(
+            self._logs,
+            self._links,
+            self._identity.replica,
+            lambda: list(self._logs.tasks[loghost.CONTROL].status().voters),
+            PROPOSAL_SECONDS,
+            clock.steady,
+            self._rng,
+        )
+        self._serve_peers()
+        await self._links.start()
+        await self._logs.start()
+        await self._start_listeners()
+        self._start_tasks()
+        self._events.write(
+            "started", role="control", replica=self._identity.replica, start=self._identity.start
+        )
+
+    def reload(self, configured: settings.Settings) -> None:
+        """Takes changed settings; only the seeds can change while a process runs."""
+        self._link.set_seeds(self._peer_seeds(configured))
+        self._events.write("reloaded", seeds=list(configured.peers.seeds))
+
+    async def stop(self) -> None:
+        """Hands over what others can go on with, and stops."""
+        self._events.write("stopping", leads=self._logs.leads(loghost.CONTROL))
+        self._api.stop()
+        try:
+            async with asyncio.timeout(STOP_SECONDS):
+                await self._logs.hand_over()
+        except TimeoutError:
+            self._events.write("not_handed_over")
+        await asyncio.gather(*(each.stop(0.3) for each in self._servers))
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._logs.stop()
+        await self._links.stop(0.3)
+        self._client.close()
+        self._events.write("stopped")
+
+    async def failed(self) -> None:
+        """Waits until a task ends that should not; raises what ended it."""
+        log = asyncio.create_task(self._logs.wait_failed(loghost.CONTROL))
+        done, _ = await asyncio.wait([*self._tasks, log], return_when=asyncio.FIRST_COMPLETED)
+        if log in done:
+            raise errors.DaemonError(f"the log stopped: {log.result()!r}")
+        for task in done:
+            task.result()
+
+    async def _open(self) -> None:
+        """Opens the identity and the log; waits while the disk refuses."""
+        own = self._settings.process
+        assert own.data_folder is not None
+        folder = pathlib.Path(own.data_folder)
+        founders = {
+            seed.rpartition(":")[0]: (leaderlink.peer_address(seed, self._settings.peers.port), "")
+            for seed in self._settings.peers.seeds
+        }
+        founds = own.first_start and own.address in founders
+        while True:
+            try:
+                self._identity = identity.open_identity(folder, own.address, founds, self._rng)
+                self._links = links_module.Links(
+                    entry.CLUSTER,
+                    self._identity.replica,
+                    self._identity.start,
+                    self._address,
+                    entry.LINKS,
+                    self._rng,
+                )
+                self._logs = loghost.LogHost(
+                    folder,
+                    entry.CLUSTER,
+                    self._identity.replica,
+                    founders if founds else {},
+                    self._links,
+                    clock.steady,
+                    self._rng,
+                    False,
+                    LOGS,
+                    REPLICATION,
+                )
+                return
+            except OSError as error:
+                self._events.warn("disk_refused", cause=str(error))
+                await asyncio.sleep(OPEN_RETRY_SECONDS)
+
+    def _serve_peers(self) -> None:
+        async def sync(sender: str, payload: bytes) -> bytes:
+            return exchange.encode(self._terms.answer(exchange.decode_report(payload)))
+
+        async def announce(sender: str, payload: bytes) -> bytes:
+            return b"1" if await self._api.announce_here(payload) else b""
+
+        async def join(sender: str, payload: bytes) -> bytes:
+            self._formation.heard(payload)
+            return b""
+
+        async def read(sender: str, payload: bytes) -> bytes:
+            return await self._api.read_here()
+
+        self._links.serve(exchange.SYNC, sync)
+        self._links.serve(exchange.ANNOUNCE, announce)
+        self._links.serve(exchange.JOIN, join)
+        self._links.serve(controlapi.READ, read)
+
+    async def _start_listeners(self) -> None:
+        listen = self._settings.listen
+        assert listen.control is not None
+        host, port = daemon_settings.split_address(listen.control)
+        self._api = controlapi.ControlApi(
+            self._dialect,
+            self._settings.process.id,
+            port,
+            self._logs,
+            self._proposals,
+            self._link,
+            self._terms,
+            self._events,
+            self._metrics,
+        )
+        serving = server.Server(self._api.handle, self._api.encode_error, BOUNDS)
+        await serving.start(host, port)
+        self._servers.append(serving)
+        if listen.metrics_port is not None:
+            page = metricspage.MetricsPage(self._metrics)
+            metrics = server.Server(page.handle, metricspage.plain_error, metricspage.BOUNDS)
+            await metrics.start(host, listen.metrics_port)
+            self._servers.append(metrics)
+
+    def _start_tasks(self) -> None:
+        follower = following.Following(
+            self._link,
+            self._documents,
+            self._copy,
+            self._report,
+            lambda answer: None,
+            self._events,
+            self._metrics,
+        )
+        work = [
+            follower.run(lambda: not self._logs.leads(loghost.CONTROL)),
+            self._terms.run(),
+            self._formation.show(),
+            self._formation.keep(),
+            self._keep_peers(),
+            leases.keep_leases(self._logs, self._proposals, clock.steady),
+        ]
+        if self._settings.cloud is not None:
+            work += self._duties(self._settings.cloud)
+        self._tasks += [asyncio.create_task(each) for each in work]
+
+    def _duties(self, cloud: settings.Cloud) -> list[object]:
+        held = leases.HeldLease(
+            DUTIES,
+            self._identity.replica,
+            self._identity.start,
+            DUTIES_LEASE_PART * cloud.lease_seconds,
+            self._proposals,
+            clock.steady,
+            wanted=lambda: self._terms.current is not None,
+        )
+        carried = duties.Duties(
+            self._cloud,
+            cloud.address,
+            self._client,
+            held,
+            self._proposals,
+            self._settings.process.id,
+            self._settings.usage.window_seconds,
+            self._settings.usage.due_seconds,
+            lambda: self._documents.table.routing if self._documents.table else None,
+            lambda: self._terms.current,
+            self._events,
+            self._metrics,
+        )
+        return [held.run(), carried.run()]
+
+    async def _keep_peers(self) -> None:
+        """Keeps links to the members of the log."""
+        while True:
+            members = self._logs.tasks[loghost.CONTROL].members
+            others = {
+                name: address
+                for name, (address, _) in members.items()
+                if name != self._identity.replica
+            }
+            self._link.set_replicas(others)
+            addresses = [address for address, _ in members.values()]
+            self._link.set_controls(sorted({*addresses, *self._formation.controls()}))
+            self._link.follow(self._terms.leader_address())
+            await asyncio.sleep(formation.STEP_SECONDS)
+
+    def _report(self, poll: lease.PollRequest, have: tuple[str, int]) -> exchange.Report:
+        return exchange.Report(
+            f"{self._identity.replica}/{self._identity.start}",
+            self._settings.process.zone,
+            poll,
+            have,
+        )
+
+    def _peer_seeds(self, configured: settings.Settings) -> list[str]:
+        port = configured.peers.port
+        seeds = [leaderlink.peer_address(seed, port) for seed in configured.peers.seeds]
+        return [seed for seed in seeds if seed != self._address]
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -0,0 +1,176 @@
+"""Messages between an entry or a control follower and the control leader."""
+
+import msgspec
+
+from coltsfoothead.coordination.configuration import lease
+from coltsfoothead.kernel.traffic import placement, quota, upstreams
+
+__all__ = [
+    "ANNOUNCE",
+    "JOIN",
+    "SYNC",
+    "Announced",
+    "Answer",
+    "Demand",
+    "DirectoryUpdate",
+    "Joining",
+    "NotLeading",
+    "Report",
+    "WithdrawnUpstream",
+    "decode_answer",
+    "decode_announced",
+    "decode_joining",
+    "decode_report",
+    "encode",
+]
+
+SYNC = "gateway.sync"
+ANNOUNCE = "gateway.announce"
+JOIN = "gateway.join"
+
+
+class Demand(msgspec.Struct, frozen=True, array_like=True):
+    """What callers asked of one service at one entry since the last report.
+
+    Parameters
+    ----------
+    requests : int
+    prompt_tokens : int
+        Tokens that upstreams had to read or would have had to.
+    output_tokens : int
+        Tokens generated or expected.
+    refused : int
+    late : int
+        Answers that began after their objective.
+    """
+
+    requests: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    refused: int = 0
+    late: int = 0
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What a process has and what it knows.
+
+    Parameters
+    ----------
+    sender : str
+        Unique to one start of the process.
+    zone : str
+    poll : PollRequest
+        Document that the sender has.
+    directory : tuple of (str, int)
+        Leadership and change number of the directory that the sender has.
+    entry : bool
+        Whether the sender takes requests, and so needs shares.
+    asked : dict of str to float
+        Units that callers asked of each organisation's quota since the last report.
+    loads : dict of str to Load
+        Requests under way per upstream.
+    usage : dict of int to dict of str to int
+        Begun requests per window and organisation; totals, so that a repeat changes nothing.
+    demand : dict of str to Demand
+        By service.
+    """
+
+    sender: str
+    zone: str
+    poll: lease.PollRequest
+    directory: tuple[str, int]
+    entry: bool = False
+    asked: dict[str, float] = {}
+    loads: dict[str, placement.Load] = {}
+    usage: dict[int, dict[str, int]] = {}
+    demand: dict[str, Demand] = {}
+
+
+class DirectoryUpdate(msgspec.Struct, frozen=True):
+    """Changes of the directory since the number that the asker has; `whole` replaces its copy."""
+
+    leadership: str
+    number: int
+    whole: bool
+    changed: tuple[upstreams.Upstream, ...]
+
+
+class Answer(msgspec.Struct, frozen=True, tag=True):
+    """The leader's answer to a report.
+
+    Parameters
+    ----------
+    entries : int
+        Entries that report at present.
+    shares : dict of str to Share
+        Per organisation with a quota.
+    loads : dict of str to Load
+        What the other entries have under way per upstream.
+    controls : tuple of str
+        Peer addresses of the control processes.
+    """
+
+    poll: lease.PollAnswer
+    directory: DirectoryUpdate
+    entries: int
+    shares: dict[str, quota.Share]
+    loads: dict[str, placement.Load]
+    controls: tuple[str, ...]
+
+
+class NotLeading(msgspec.Struct, frozen=True, tag=True):
+    """The asked process does not lead; `leader` is the peer address of the one that may."""
+
+    leader: str | None
+    controls: tuple[str, ...] = ()
+
+
+class WithdrawnUpstream(msgspec.Struct, frozen=True, tag=True):
+    """An upstream is gone; `born` is 0 if its start is not known."""
+
+    upstream_id: str
+    born: int
+
+
+class Announced(msgspec.Struct, frozen=True):
+    """An upstream's word, as a control process heard it."""
+
+    word: upstreams.Upstream | WithdrawnUpstream
+
+
+class Joining(msgspec.Struct, frozen=True):
+    """A control process is alive and wants a replica of the log."""
+
+    replica: str
+    address: str
+    zone: str
+
+
+class _AnnouncedWire(msgspec.Struct, frozen=True):
+    upstream: upstreams.Upstream | None = None
+    withdrawn: WithdrawnUpstream | None = None
+
+
+def encode(value: object) -> bytes:
+    """Encodes a message."""
+    if isinstance(value, Announced):
+        match value.word:
+            case upstreams.Upstream():
+                value = _AnnouncedWire(upstream=value.word)
+            case WithdrawnUpstream():
+                value = _AnnouncedWire(withdrawn=value.word)
+    return msgspec.msgpack.encode(value)
+
+
+def decode_announced(data: bytes) -> Announced:
+    """Decodes an upstream's word; raises `msgspec.ValidationError`."""
+    wire = msgspec.msgpack.decode(data, type=_AnnouncedWire)
+    word = wire.upstream or wire.withdrawn
+    if word is None:
+        raise msgspec.ValidationError("an announcement without an upstream")
+    return Announced(word)
+
+
+decode_report = msgspec.msgpack.Decoder(Report).decode
+decode_answer = msgspec.msgpack.Decoder(Answer | NotLeading).decode
+decode_joining = msgspec.msgpack.Decoder(Joining).decode
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/failures.py
@@ -0,0 +1,52 @@
+"""Errors on the way of a request through an entry."""
+
+from coltsfoothead.daemon import errors
+from coltsfoothead.daemon.gateway import ports
+from coltsfoothead.daemon.http import message
+
+__all__ = ["AttemptFailedError", "RefusedError"]
+
+
+class RefusedError(errors.DaemonError):
+    """The request ends with an answer of the entry's own.
+
+    Parameters
+    ----------
+    refusal : Refusal
+    cause : str, optional
+        For the log.
+    """
+
+    def __init__(self, refusal: ports.Refusal, cause: str = "") -> None:
+        super().__init__(cause or refusal.reason.value)
+        self.refusal = refusal
+        self.cause = cause
+
+
+class AttemptFailedError(errors.DaemonError):
+    """One attempt at one upstream failed.
+
+    Parameters
+    ----------
+    cause : str
+    sent : bool
+        Whether bytes of the request may have left.
+    not_run : bool
+        Whether the request certainly did not run there.
+    answer : Response, optional
+        The upstream's own failure, to be passed on if no other attempt is made.
+    """
+
+    def __init__(
+        self,
+        cause: str,
+        *,
+        sent: bool = True,
+        not_run: bool = False,
+        answer: message.Response | None = None,
+    ) -> None:
+        super().__init__(cause)
+        self.cause = cause
+        self.sent = sent
+        self.not_run = not_run
+        self.answer = answer
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -0,0 +1,146 @@
+"""What the control leader knows of the entries and tells them; soft state of one term."""
+
+import dataclasses
+
+from coltsfoothead.coordination.configuration import lease
+from coltsfoothead.daemon.gateway import directory, exchange
+from coltsfoothead.kernel.traffic import document, placement, quota, usage
+
+__all__ = ["Leadership", "ServiceDemand"]
+
+# Loads that an entry reported longer ago are not passed on.
+LOAD_SECONDS = 2.0
+# Time in which a change of demand is followed to two thirds; shorter than the bursts of callers.
+DEMAND_SECONDS = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Reporter:
+    report: exchange.Report
+    at: float
+    first_at: float
+    asked: dict[str, float] = dataclasses.field(default_factory=dict)
+    demand: dict[str, "ServiceDemand"] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceDemand:
+    """Rates per second that callers ask of a service."""
+
+    requests: float = 0.0
+    prompt_tokens: float = 0.0
+    output_tokens: float = 0.0
+    refused: float = 0.0
+
+    def follow(self, counts: exchange.Demand, seconds: float) -> None:
+        """Takes the counts of the last `seconds`."""
+        part = min(1.0, seconds / DEMAND_SECONDS)
+        for name in ("requests", "prompt_tokens", "output_tokens", "refused"):
+            rate = getattr(counts, name) / max(0.05, seconds)
+            before = getattr(self, name)
+            setattr(self, name, before + part * (rate - before))
+
+
+class Leadership:
+    """State of one term of leadership.
+
+    Parameters
+    ----------
+    upstreams : Directory
+    lease_seconds : float
+        Length of the lease on the document. An entry that is not heard from may use its shares
+        for as long.
+    """
+
+    def __init__(self, upstreams: directory.Directory, lease_seconds: float) -> None:
+        self._directory = upstreams
+        self._lease_seconds = lease_seconds
+        self._lease = lease.LeaseSource(lease_seconds)
+        self._reporters: dict[str, _Reporter] = {}
+
+    @property
+    def directory(self) -> directory.Directory:
+        """The directory of this term."""
+        return self._directory
+
+    @property
+    def lease(self) -> lease.LeaseSource:
+        """Lease on the document, from the rounds that a majority confirmed."""
+        return self._lease
+
+    def take(self, report: exchange.Report, now: float) -> None:
+        """Takes a report."""
+        known = self._reporters.get(report.sender)
+        if known is None:
+            known = self._reporters[report.sender] = _Reporter(report, now, now)
+        seconds = now - known.at
+        known.report, known.at = report, now
+        if not report.entry or seconds <= 0:
+            return
+        part = min(1.0, seconds / DEMAND_SECONDS)
+        for name in known.asked.keys() | report.asked.keys():
+            rate = report.asked.get(name, 0.0) / max(0.05, seconds)
+            before = known.asked.get(name, 0.0)
+            known.asked[name] = before + part * (rate - before)
+        for name in known.demand.keys() | report.demand.keys():
+            rates = known.demand.setdefault(name, ServiceDemand())
+            rates.follow(report.demand.get(name, exchange.Demand()), seconds)
+
+    def forget_old(self, now: float, usage_seconds: float) -> None:
+        """Forgets processes that were not heard from while their usage was still to be reported."""
+        for sender, known in list(self._reporters.items()):
+            if now - known.at > usage_seconds:
+                del self._reporters[sender]
+
+    def entries(self, now: float) -> list[str]:
+        """Returns the entries that may be serving."""
+        return [
+            sender
+            for sender, known in self._reporters.items()
+            if known.report.entry and now - known.at <= self._lease_seconds
+        ]
+
+    def shares(
+        self, sender: str, organisations: tuple[document.Organisation, ...], now: float
+    ) -> dict[str, quota.Share]:
+        """Returns an entry's shares of all quotas."""
+        entries = self.entries(now)
+        shares = {}
+        for organisation in organisations:
+            if organisation.quota is None:
+                continue
+            asked = {
+                each: self._reporters[each].asked.get(organisation.name, 0.0) for each in entries
+            }
+            share = quota.divide(organisation.quota, asked).get(sender)
+            if share is not None:
+                shares[organisation.name] = share
+        return shares
+
+    def other_loads(self, sender: str, now: float) -> dict[str, placement.Load]:
+        """Returns what the entries other than `sender` have under way per upstream."""
+        total: dict[str, placement.Load] = {}
+        for other, known in self._reporters.items():
+            if other != sender and now - known.at <= LOAD_SECONDS:
+                for name, load in known.report.loads.items():
+                    total[name] = total.get(name, placement.Load()) + load
+        return total
+
+    def demand(self, now: float) -> dict[str, ServiceDemand]:
+        """Returns the demand of all entries by service."""
+        total: dict[str, ServiceDemand] = {}
+        for known in self._reporters.values():
+            if now - known.at > LOAD_SECONDS:
+                continue
+            for name, rates in known.demand.items():
+                sums = total.setdefault(name, ServiceDemand())
+                sums.requests += rates.requests
+                sums.prompt_tokens += rates.prompt_tokens
+                sums.output_tokens += rates.output_tokens
+                sums.refused += rates.refused
+        return total
+
+    def usage(self, window: int, organisations: list[str]) -> dict[str, int]:
+        """Returns the begun requests of a window."""
+        reports = (known.report.usage for known in self._reporters.values())
+        return usage.total(reports, window, organisations)
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/loads.py
@@ -0,0 +1,134 @@
+"""Requests under way, recent failures and held prompts per upstream, as one entry knows them."""
+
+import collections
+import dataclasses
+from collections.abc import Iterator, Mapping
+
+from coltsfoothead.kernel.traffic import placement
+
+__all__ = ["Loads", "Passage"]
+
+# Time in which the weight of a failure falls to a third.
+FAILURE_SECONDS = 4.0
+# A shared part of a prompt is taken for held this long after its last use; the platform counts a
+# part that is read again within 10 s as wasted.
+HELD_SECONDS = 20.0
+# Shared parts that are remembered.
+PARTS_KEPT = 4096
+
+
+class Passage:
+    """One request at one upstream; counted from `Loads.begin` until `end`."""
+
+    def __init__(self, loads: "Loads", upstream_id: str, tokens: int, waits: bool) -> None:
+        self._loads = loads
+        self._upstream_id = upstream_id
+        self._tokens = tokens
+        self._waits = waits
+        self._open = True
+
+    def started(self) -> None:
+        """Notes that the answer has begun."""
+        if self._open and self._waits:
+            self._waits = False
+            load = placement.Load(1, -1, -self._tokens)
+            self._loads.add(self._upstream_id, load)
+
+    def end(self) -> None:
+        """Notes the end; may be called twice."""
+        if self._open:
+            self._open = False
+            waiting = placement.Load(0, -1, -self._tokens)
+            load = waiting if self._waits else placement.Load(-1)
+            self._loads.add(self._upstream_id, load)
+
+
+@dataclasses.dataclass(slots=True)
+class _Failures:
+    weight: float
+    at: float
+
+
+class Loads:
+    """What one entry has under way and what it remembers."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, placement.Load] = {}
+        self._others: Mapping[str, placement.Load] = {}
+        self._failures: dict[str, _Failures] = {}
+        self._held: collections.OrderedDict[str, dict[str, float]] = collections.OrderedDict()
+
+    @property
+    def own(self) -> dict[str, placement.Load]:
+        """Requests of this entry under way, by upstream."""
+        return self._own
+
+    def set_others(self, loads: Mapping[str, placement.Load]) -> None:
+        """Replaces what the other entries have under way."""
+        self._others = loads
+
+    def begin(self, upstream_id: str, tokens: int, waits: bool) -> Passage:
+        """Counts a request that is sent now.
+
+        Parameters
+        ----------
+        upstream_id : str
+        tokens : int
+            Prompt tokens that the upstream has to read.
+        waits : bool
+            Whether it waits for a first event, or runs at once.
+        """
+        load = placement.Load(0, 1, tokens) if waits else placement.Load(1)
+        self.add(upstream_id, load)
+        return Passage(self, upstream_id, tokens, waits)
+
+    def add(self, upstream_id: str, load: placement.Load) -> None:
+        """Changes what is under way at an upstream."""
+        total = self._own.get(upstream_id, placement.Load()) + load
+        if total == placement.Load():
+            self._own.pop(upstream_id, None)
+        else:
+            self._own[upstream_id] = total
+
+    def load(self, upstream_id: str) -> placement.Load:
+        """Returns what all entries have under way at an upstream."""
+        own = self._own.get(upstream_id, placement.Load())
+        return own + self._others.get(upstream_id, placement.Load())
+
+    def failed(self, upstream_id: str, now: float, weight: float = 1.0) -> None:
+        """Notes a failure of an upstream."""
+        total = self.failures(upstream_id, now) + weight
+        self._failures[upstream_id] = _Failures(total, now)
+
+    def failures(self, upstream_id: str, now: float) -> float:
+        """Returns the decayed weight of an upstream's failures."""
+        noted = self._failures.get(upstream_id)
+        if noted is None:
+            return 0.0
+        weight = noted.weight * 3.0 ** (-(now - noted.at) / FAILURE_SECONDS)
+        if weight < 0.01:
+            del self._failures[upstream_id]
+        return weight
+
+    def read(self, part_id: str, upstream_id: str, now: float) -> None:
+        """Notes that an upstream reads a shared part of a prompt."""
+        holders = self._held.setdefault(part_id, {})
+        holders[upstream_id] = now
+        self._held.move_to_end(part_id)
+        if len(self._held) > PARTS_KEPT:
+            self._held.popitem(last=False)
+
+    def holders(self, part_id: str, now: float) -> dict[str, float]:
+        """Returns the upstreams that probably hold a shared part, with the share they hold."""
+        return dict(self._holders(part_id, now))
+
+    def forget(self, upstream_id: str) -> None:
+        """Forgets an upstream that is gone."""
+        self._failures.pop(upstream_id, None)
+        for holders in self._held.values():
+            holders.pop(upstream_id, None)
+
+    def _holders(self, part_id: str, now: float) -> Iterator[tuple[str, float]]:
+        for upstream_id, read_at in self._held.get(part_id, {}).items():
+            if now - read_at < HELD_SECONDS:
+                yield upstream_id, 1.0
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/metricspage.py
@@ -0,0 +1,42 @@
+"""Counters and histograms as a text page."""
+
+from coltsfoothead.daemon import metrics as metrics_module
+from coltsfoothead.daemon.http import errors, message, server
+
+__all__ = ["BOUNDS", "MetricsPage", "plain_error"]
+
+# The page and the readiness check take requests without bodies from the platform only.
+BOUNDS = server.Bounds(
+    body_bytes=4096,
+    header_bytes=16 * 1024,
+    receive_seconds=3.0,
+    idle_seconds=15.0,
+    connections=64,
+)
+
+
+def plain_error(status: int, error: errors.HttpError) -> message.Response:
+    """Returns an answer that holds the error's text."""
+    return message.Response(status, (("content-type", "text/plain"),), str(error).encode())
+
+
+class MetricsPage:
+    """Answers every request with the counters and histograms of a process."""
+
+    def __init__(self, metrics: metrics_module.Metrics) -> None:
+        self._metrics = metrics
+
+    async def handle(self, caller: server.Exchange) -> None:
+        """Answers one request."""
+        await caller.respond(
+            message.Response(200, (("content-type", "text/plain; version=0.0.4"),), self._text())
+        )
+
+    def _text(self) -> bytes:
+        lines = [f"{name} {value}" for name, value in sorted(self._metrics.counters.items())]
+        for name, summary in self._metrics.summaries().items():
+            lines.append(f"{name}_count {summary.count}")
+            quantiles = (("0.5", summary.p50), ("0.95", summary.p95), ("0.99", summary.p99))
+            lines += [f'{name}{{quantile="{rank}"}} {value}' for rank, value in quantiles]
+            lines.append(f"{name}_max {summary.max}")
+        return ("\n".join(lines) + "\n").encode()
--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import socket
 from collections.abc import AsyncIterator, Callable
 
 import h11
@@ -14,8 +15,19 @@
 IDLE_PER_ADDRESS = 16
 # Idle connections are dropped sooner than common servers drop theirs, which is after 5 s or more.
 IDLE_SECONDS = 4.0
-
-
+# A request that crosses the server's close is lost, so a kept connection is dropped earlier.
+KEEP_MARGIN_SECONDS = 0.5
+
+
+# A VM without power or behind a partition never resets its connections. The probes end one after
+# about 3 s, the time in which callers give up a silent answer at the earliest.
+_PROBES = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+)
 # What h11 holds after a chunk's data when nothing of the next chunk has arrived.
 _BETWEEN_CHUNKS = (b"\r\n", False)
 
@@ -39,7 +51,9 @@
         self._timeout: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.protocol = h11.Connection(h11.CLIENT)
-        self.idle_since = 0.0
+        self.idle = False
+        self.idle_until = 0.0
+        self.keep_seconds = IDLE_SECONDS
         self.ended = False
 
     @property
@@ -54,10 +68,15 @@
     def data_received(self, data: bytes) -> None:
         """Parses what arrived."""
         self._received_at = self._loop.time()
-        self.protocol.receive_data(data)
+        if not self.idle:
+            self.protocol.receive_data(data)
         if self._sink is not None:
             self._push()
             return
+        if self.idle:
+            # Surplus bytes belong to no request; the next answer on this connection would be wrong.
+            self.close()
+            return
         self._unread += len(data)
         if self._unread > READ_BYTES:
             self._transport.pause_reading()
@@ -89,6 +108,12 @@
         """Drops the connection."""
         self._transport.abort()
 
+    def detect_silence(self) -> None:
+        """Lets the system probe the connection, which ends it when the other VM is gone."""
+        connected = self._transport.get_extra_info("socket")
+        for level, option, value in _PROBES:
+            connected.setsockopt(level, option, value)
+
     async def send(self, data: bytes) -> None:
         """Writes and waits while the server reads too slowly."""
         if self._transport.is_closing():
@@ -115,6 +140,20 @@
             await self._wait(timeout)
         self._news = False
 
+    def expect_another(self) -> None:
+        """Reads what follows a whole answer as the answer to the request that was sent."""
+        surplus, closed = self.protocol.trailing_data
+        if self.protocol.their_state is not h11.DONE:
+            raise errors.UpstreamBrokeError("connection closed before the answer")
+        self.protocol = h11.Connection(h11.CLIENT)
+        # The bytes went out on the connection long ago; only the parser has to know of them.
+        self.protocol.send(h11.Request(method="GET", target="/", headers=[("host", "-")]))
+        self.protocol.send(h11.EndOfMessage())
+        if surplus:
+            self.protocol.receive_data(surplus)
+        if closed or self.ended:
+            self.protocol.receive_data(b"")
+
     async def next_event(self, timeout: float | None) -> object:
         """Returns the next event."""
         while (event := self.ready_event()) is h11.NEED_DATA:
@@ -296,10 +335,13 @@
     ----------
     connect_seconds : float
         Bound on opening a connection.
+    keep_host : bool
+        Send a request's own ``host`` header instead of the address.
     """
 
-    def __init__(self, connect_seconds: float) -> None:
+    def __init__(self, connect_seconds: float, keep_host: bool = False) -> None:
         self._connect_seconds = connect_seconds
+        self._keep_host = keep_host
         self._idle: dict[str, collections.deque[_Connection]] = {}
 
     async def send(
@@ -309,6 +351,7 @@
         timeout: float | None,
         fresh: bool = False,
         ready: Callable[[], None] | None = None,
+        belongs: Callable[[h11.Response], bool] | None = None,
     ) -> Answer:
         """Sends a request and returns the answer's head.
 
@@ -325,6 +368,9 @@
         ready : callable, optional
             Called once connected, right before the first byte is written. What it raises is
             raised here, and nothing was sent.
+        belongs : callable, optional
+            Tells whether an answer's head belongs to this request. An answer that does not, left
+            over from an earlier request, is skipped.
 
         Raises
         ------
@@ -340,21 +386,36 @@
             if ready is not None:
                 ready()
             head = await self._exchange(connection, address, request, timeout)
+            while belongs is not None and not belongs(head):
+                head = await self._skip(connection, timeout)
         except BaseException:
             connection.close()
             raise
+        connection.keep_seconds = _keep_seconds(head)
         return Answer(self, address, connection, head)
 
+    @staticmethod
+    async def _skip(connection: _Connection, timeout: float | None) -> h11.Response:
+        """Reads an answer that belongs to no request here, and returns the head of the next."""
+        while not isinstance(await connection.next_event(timeout), h11.EndOfMessage):
+            pass
+        connection.expect_another()
+        event = await connection.next_event(timeout)
+        if not isinstance(event, h11.Response):
+            raise errors.UpstreamBrokeError("connection closed before the answer")
+        return event
+
     def release(self, address: str, connection: _Connection) -> None:
         """Keeps a connection whose answer was read whole, if it may serve again."""
         protocol = connection.protocol
         whole = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
-        if not whole or not connection.writable:
+        if not whole or protocol.trailing_data[0] or not connection.writable:
             connection.close()
             return
         protocol.start_next_cycle()
         idle = self._idle.setdefault(address, collections.deque())
-        connection.idle_since = asyncio.get_running_loop().time()
+        connection.idle = True
+        connection.idle_until = asyncio.get_running_loop().time() + connection.keep_seconds
         idle.append(connection)
         while len(idle) > IDLE_PER_ADDRESS:
             idle.popleft().close()
@@ -371,7 +432,8 @@
         now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
-            if now - connection.idle_since < IDLE_SECONDS and connection.writable:
+            if now < connection.idle_until and connection.writable:
+                connection.idle = False
                 return connection
             connection.close()
         self._idle.pop(address, None)
@@ -386,14 +448,19 @@
                 )
         except (OSError, TimeoutError) as error:
             raise errors.ConnectError(f"{address}: {error or 'timed out'}") from error
+        connection.detect_silence()
         return connection
 
-    @staticmethod
     async def _exchange(
-        connection: _Connection, address: str, request: message.Request, timeout: float | None
+        self,
+        connection: _Connection,
+        address: str,
+        request: message.Request,
+        timeout: float | None,
     ) -> h11.Response:
+        host = request.header("host") if self._keep_host else None
         headers = [each for each in request.headers if each[0] not in ("host", "content-length")]
-        headers.append(("host", address))
+        headers.insert(0, ("host", host or address))
         if request.body or request.method not in ("GET", "HEAD", "OPTIONS"):
             headers.append(("content-length", str(len(request.body))))
         protocol = connection.protocol
@@ -410,3 +477,15 @@
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.UpstreamBrokeError("connection closed before the answer")
+
+
+def _keep_seconds(head: h11.Response) -> float:
+    """Returns how long the connection may be kept idle after an answer."""
+    for name, value in head.headers:
+        if name == b"keep-alive":
+            for part in value.split(b","):
+                key, _, number = part.strip().partition(b"=")
+                if key.lower() == b"timeout" and number.isdigit():
+                    # The server counts from when it sent the answer.
+                    return max(0.0, int(number) - KEEP_MARGIN_SECONDS)
+    return IDLE_SECONDS
--- a/packages/daemon/src/coltsfoothead/daemon/http/errors.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/errors.py
@@ -6,6 +6,7 @@
     "BodyTooLargeError",
     "CallerGoneError",
     "ConnectError",
+    "HeadersTooLargeError",
     "HttpError",
     "MalformedRequestError",
     "ReceiveTimeoutError",
@@ -22,6 +23,10 @@
     """The peer sent bytes that are not HTTP/1.1, or closed in the middle of a request."""
 
 
+class HeadersTooLargeError(HttpError):
+    """The request's header block exceeds the limit."""
+
+
 class BodyTooLargeError(HttpError):
     """The request body exceeds the limit."""
 
--- a/packages/daemon/src/coltsfoothead/daemon/http/server.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/server.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import h11
 
@@ -13,7 +13,10 @@
 
 READ_BYTES = 64 * 1024
 DISCARD_SECONDS = 1.0
+# Connections that the system holds until they are accepted; a burst beyond it waits for a resend.
+BACKLOG = 1024
 LINGER_SECONDS = 0.3
+_CLOSE = ("connection", "close")
 
 Handler = Callable[["Exchange"], Awaitable[None]]
 ErrorEncoder = Callable[[int, errors.HttpError], message.Response]
@@ -23,6 +26,7 @@
     errors.MalformedRequestError: 400,
     errors.ReceiveTimeoutError: 408,
     errors.BodyTooLargeError: 413,
+    errors.HeadersTooLargeError: 431,
 }
 
 
@@ -49,6 +53,31 @@
     connections: int
 
 
+class _CallerProtocol(asyncio.StreamReaderProtocol):
+    """Stream protocol that tells at once when the caller closes its side."""
+
+    def __init__(self, reader: asyncio.StreamReader, accept: Callable[..., object]) -> None:
+        super().__init__(reader, accept)
+        self.on_gone: Callable[[], object] | None = None
+        self.gone = False
+
+    def eof_received(self) -> bool | None:
+        """Notes the end of what the caller sends."""
+        self._note_gone()
+        return super().eof_received()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Notes the loss of the connection."""
+        self._note_gone()
+        super().connection_lost(error)
+
+    def _note_gone(self) -> None:
+        if not self.gone:
+            self.gone = True
+            if self.on_gone is not None:
+                self.on_gone()
+
+
 class _Outbox:
     """Writes what the exchanges of a server put off until all reads of the loop are handled.
 
@@ -91,6 +120,7 @@
         self._writer = writer
         self._outbox = outbox
         self._parts: list[bytes] = []
+        self._closing = False
         self.transport = writer.transport
         self._high_water_bytes = self.transport.get_write_buffer_limits()[1]
         self._started = False
@@ -105,10 +135,31 @@
         """Whether the connection is closed."""
         return self._writer.is_closing()
 
+    @contextlib.contextmanager
+    def cancelled_when_gone(self) -> Iterator[None]:
+        """Cancels the current task once the caller closes its side of the connection."""
+        protocol = self.transport.get_protocol()
+        assert isinstance(protocol, _CallerProtocol)
+        task = asyncio.current_task()
+        assert task is not None
+        protocol.on_gone = task.cancel
+        if protocol.gone:
+            task.cancel()
+        try:
+            yield
+        finally:
+            protocol.on_gone = None
+
+    def close_after(self) -> None:
+        """Tells the caller that the connection closes after this response."""
+        self._closing = True
+
     async def respond(self, response: message.Response) -> None:
         """Writes a complete response."""
         length = ("content-length", str(len(response.body)))
-        headers = [each for each in response.headers if each[0] != "content-length"]
+        headers = [each for each in response.headers if each[0].lower() != "content-length"]
+        if self._closing:
+            headers.append(_CLOSE)
         self._started = True
         # One write for the whole response: each write is a system call that may wake the caller.
         head = h11.Response(status_code=response.status, headers=[*headers, length])
@@ -120,10 +171,15 @@
 
     async def start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Writes status and headers; without a content length the body is chunked."""
-        self._started = True
-        self._send(h11.Response(status_code=status, headers=list(headers)))
+        self.begin(status, headers)
         await self._drain()
 
+    def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Writes status and headers without waiting for a caller that reads slowly."""
+        self._started = True
+        closing = (_CLOSE,) if self._closing else ()
+        self._send(h11.Response(status_code=status, headers=[*headers, *closing]))
+
     async def write(self, data: bytes) -> None:
         """Writes a part of the body and waits while the caller reads too slowly.
 
@@ -220,14 +276,27 @@
         """Connections that are open now."""
         return len(self._connections)
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Replaces the bounds; the header limit counts for new connections."""
+        self._bounds = bounds
+
     async def start(self, host: str, port: int) -> str:
         """Starts listening and returns the bound address as ``IP:port``."""
-        self._server = await asyncio.start_server(
-            self._accept, host, port, limit=self._bounds.header_bytes * 2
-        )
+        loop = asyncio.get_running_loop()
+
+        def protocol() -> _CallerProtocol:
+            reader = asyncio.StreamReader(limit=READ_BYTES, loop=loop)
+            return _CallerProtocol(reader, self._accept)
+
+        self._server = await loop.create_server(protocol, host, port, backlog=BACKLOG)
         bound = self._server.sockets[0].getsockname()
         return f"{bound[0]}:{bound[1]}"
 
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is under way."""
+        for writer in list(self._idle):
+            writer.close()
+
     async def stop(self, grace_seconds: float) -> None:
         """Stops listening, lets running exchanges end, then closes what is left.
 
@@ -239,8 +308,7 @@
         if self._connections:
             await asyncio.sleep(min(LINGER_SECONDS, grace_seconds))
         self._closing = True
-        for writer in list(self._idle):
-            writer.close()
+        self.close_idle()
         if self._connections:
             await asyncio.wait(self._connections, timeout=grace_seconds)
         for task in list(self._connections):
@@ -297,8 +365,8 @@
             match event:
                 case h11.Request():
                     head = event
+                    self._check_framing(event)
                     if connection.they_are_waiting_for_100_continue:
-                        self._check_declared_length(event)
                         go_on = h11.InformationalResponse(status_code=100, headers=[])
                         writer.write(connection.send(go_on))
                 case h11.Data():
@@ -321,7 +389,15 @@
                         deadline = loop.time() + self._bounds.receive_seconds
                     connection.receive_data(data)
 
-    def _check_declared_length(self, head: h11.Request) -> None:
+    def _check_framing(self, head: h11.Request) -> None:
+        """Checks what the header says of the body, before any of it is read.
+
+        A request with both a length and a transfer encoding is read differently by different
+        parsers, and what one takes for the body is the next request for the other.
+        """
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise errors.MalformedRequestError("both content-length and transfer-encoding")
         for name, value in head.headers:
             if name == b"content-length" and int(value) > self._bounds.body_bytes:
                 raise errors.BodyTooLargeError(f"body exceeds {self._bounds.body_bytes} bytes")
@@ -331,6 +407,8 @@
         try:
             return connection.next_event()
         except h11.RemoteProtocolError as error:
+            if error.error_status_hint == 431:
+                raise errors.HeadersTooLargeError(str(error)) from error
             raise errors.MalformedRequestError(str(error)) from error
 
     async def _read(self, reader: asyncio.StreamReader, deadline: float, started: bool) -> bytes:
--- a/tools/runtests.py
+++ b/tools/runtests.py
@@ -33,7 +33,9 @@
 
 def find_modules(patterns):
     """Returns the test modules whose path contains any of `patterns`, or all of them."""
-    modules = sorted(ROOT.glob("packages/*/tests/test_*.py"))
+    modules = sorted(
+        [*ROOT.glob("packages/*/tests/test_*.py"), *ROOT.glob("platform/tests/test_*.py")]
+    )
     if not patterns:
         return modules
     return [path for path in modules if any(pattern in str(path) for pattern in patterns)]
