Tell a process that joins the control group where its members are

Change: the leader answers a sign of life with the addresses of the members. Ruled out: slow catch-up (the log held five entries), dropped messages (counter 0).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -212,8 +212,7 @@
             return b"1" if await self._api.announce_here(payload) else b""
 
         async def join(sender: str, payload: bytes) -> bytes:
-            self._formation.heard(payload)
-            return b""
+            return self._formation.heard(payload)
 
         async def read(sender: str, payload: bytes) -> bytes:
             return await self._api.read_here()
@@ -299,12 +298,9 @@
         """Keeps links to the members of the log."""
         while True:
             members = self._logs.tasks[loghost.CONTROL].members
-            others = {
-                name: address
-                for name, (address, _) in members.items()
-                if name != self._identity.replica
-            }
-            self._link.set_replicas(others)
+            known = {**self._formation.told, **{name: at for name, (at, _) in members.items()}}
+            known.pop(self._identity.replica, None)
+            self._link.set_replicas(known)
             addresses = [address for address, _ in members.values()]
             self._link.set_controls(sorted({*addresses, *self._formation.controls()}))
             self._link.follow(self._terms.leader_address())
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -13,12 +13,14 @@
     "Answer",
     "Demand",
     "DirectoryUpdate",
+    "Joined",
     "Joining",
     "NotLeading",
     "Report",
     "WithdrawnUpstream",
     "decode_answer",
     "decode_announced",
+    "decode_joined",
     "decode_joining",
     "decode_report",
     "encode",
@@ -146,6 +148,15 @@
     zone: str
 
 
+class Joined(msgspec.Struct, frozen=True):
+    """Answer to a sign of life: the leader's members with their addresses, if it leads.
+
+    A replica that has just been admitted has none of them in its log yet, and has to answer them.
+    """
+
+    members: dict[str, str]
+
+
 class _AnnouncedWire(msgspec.Struct, frozen=True):
     upstream: upstreams.Upstream | None = None
     withdrawn: WithdrawnUpstream | None = None
@@ -173,4 +184,5 @@
 
 decode_report = msgspec.msgpack.Decoder(Report).decode
 decode_answer = msgspec.msgpack.Decoder(Answer | NotLeading).decode
+decode_joined = msgspec.msgpack.Decoder(Joined).decode
 decode_joining = msgspec.msgpack.Decoder(Joining).decode
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/formation.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/formation.py
@@ -46,12 +46,23 @@
         self._link = link
         self._joining = joining
         self._events = events
+        self._told: dict[str, str] = {}
         self._heard: dict[str, tuple[exchange.Joining, float]] = {}
 
-    def heard(self, payload: bytes) -> None:
-        """Takes a process's sign of life."""
+    @property
+    def told(self) -> dict[str, str]:
+        """Addresses of the members that the leader named last."""
+        return self._told
+
+    def heard(self, payload: bytes) -> bytes:
+        """Takes a process's sign of life and returns the answer."""
         joining = exchange.decode_joining(payload)
         self._heard[joining.replica] = (joining, clock.steady())
+        members = {}
+        if self._logs.leads(loghost.CONTROL):
+            task = self._logs.tasks[loghost.CONTROL]
+            members = {name: address for name, (address, _) in task.members.items()}
+        return exchange.encode(exchange.Joined(members))
 
     def controls(self) -> list[str]:
         """Returns the peer addresses of the live control processes."""
@@ -68,10 +79,14 @@
             if not self._logs.leads(loghost.CONTROL):
                 for target in self._link.targets()[:2]:
                     try:
-                        await self._link.ask(target, exchange.JOIN, payload, JOIN_TIMEOUT_SECONDS)
-                        break
+                        answer = await self._link.ask(
+                            target, exchange.JOIN, payload, JOIN_TIMEOUT_SECONDS
+                        )
                     except leaderlink.LeaderUnreachableError:
+                        # Counted and logged by the exchanges with the same process.
                         continue
+                    self._told = exchange.decode_joined(answer).members or self._told
+                    break
             await asyncio.sleep(JOIN_SECONDS)
 
     async def keep(self) -> None:
