Order reclaimable runners again after a reclaim, and fill in while there are none

Allowances of quotas were divided by shares of rate and burst, and refused 429 to callers within their quota. Change: the plan compares what serves with what is wanted, spreads reclaimable runners so that one zone may be lost, fills in with others while they cannot be had and gives those back later. The leader keeps one bucket per organisation, divides what it holds at each exchange, and uses half of the tolerance. An entry refuses new requests a third of the way to its kill. Ruled out: filling in only what is missing at the moment (the third reclaim in a row left one runner).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from coltsfoothead.daemon.gateway import clock, documentcopy, failures, flight, ports, shares
+from coltsfoothead.daemon.gateway import allowances, documentcopy, failures, flight, ports
 from coltsfoothead.daemon.http import message
 from coltsfoothead.kernel.traffic import document, placement, quota, routetable
 
@@ -14,8 +14,6 @@
 # Range of the time after which a refused caller should return; spread, so that callers that were
 # refused together do not return together.
 RETURN_SECONDS = (0.25, 1.0)
-# Longest time for which a caller over its quota is sent away; its share may grow meanwhile.
-QUOTA_RETURN_SECONDS = 5.0
 
 
 class Admission:
@@ -24,18 +22,18 @@
     Parameters
     ----------
     documents : DocumentCopy
-    limits : Shares
+    limits : Allowances
     rng : random.Random
     """
 
     def __init__(
         self,
         documents: documentcopy.DocumentCopy,
-        limits: shares.Shares,
+        limits: allowances.Allowances,
         rng: random.Random,
     ) -> None:
         self._documents = documents
-        self._shares = limits
+        self._allowances = limits
         self._rng = rng
         self._stopped = False
 
@@ -100,7 +98,7 @@
     def give_back(self, work: flight.Flight) -> None:
         """Returns the charge of a request that did not run."""
         if work.organisation is not None and work.charged:
-            self._shares.give_back(work.organisation, work.charged)
+            self._allowances.give_back(work.organisation, work.charged)
             work.charged = 0.0
 
     @staticmethod
@@ -122,12 +120,9 @@
         organisation = work.organisation
         if organisation is None or organisation.quota is None:
             return
-        now = clock.steady()
         amount = quota.cost(organisation.quota, work.call.tokens)
-        if not self._shares.admit(organisation, amount, now):
-            wait = min(self._shares.wait_seconds(organisation, now), QUOTA_RETURN_SECONDS)
-            wait += self._rng.uniform(*RETURN_SECONDS)
-            raise failures.RefusedError(ports.Refusal(ports.RefusalReason.OVER_QUOTA, wait))
+        if not self._allowances.admit(organisation, amount):
+            raise self.refused(ports.RefusalReason.OVER_QUOTA)
         work.charged = amount
 
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -38,6 +38,7 @@
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
+from coltsfoothead.kernel.traffic import quota
 
 __all__ = ["Control"]
 
@@ -113,6 +114,7 @@
             self._settings.announcements.interval_seconds,
             lease_seconds,
             due,
+            quota.Tolerance(self._settings.quotas.overage, self._settings.quotas.slack),
             self._formation.controls,
             self._events,
         )
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -10,7 +10,7 @@
 from coltsfoothead.daemon import settings as daemon_settings
 from coltsfoothead.daemon.gateway import (
     admission,
-    clock,
+    allowances,
     directory,
     documentcopy,
     eventlog,
@@ -23,7 +23,6 @@
     sending,
     settings,
 )
-from coltsfoothead.daemon.gateway import shares as shares_module
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import message, server
 from coltsfoothead.kernel.traffic import document, repeats, usage
@@ -38,8 +37,9 @@
 WINDOWS_KEPT = 5
 # Connections of callers; the rest of the descriptors is for upstreams and files.
 CALLER_CONNECTIONS = 3000
-# Part of the time until the kill in which the balancer notices that the entry is leaving.
-NOTICE_PART = 0.3
+# Part of the time until the kill in which the balancer notices that the entry is leaving. After it
+# new requests are refused: a long answer could not end before the kill.
+NOTICE_PART = 0.33
 # Part of it after which answers that still run are broken off.
 STOP_PART = 0.92
 LINKS = links_module.Settings(heartbeat_seconds=0.5, silence_seconds=1.6, idle_seconds=5.0)
@@ -73,8 +73,8 @@
         self._client = http_client.Client(CONNECT_SECONDS, keep_host=True)
         self._documents = documentcopy.DocumentCopy(documents, self._events)
         self._copy = directory.DirectoryCopy()
-        self._shares = shares_module.Shares()
-        self._admission = admission.Admission(self._documents, self._shares, self._rng)
+        self._allowances = allowances.Allowances(self._rng)
+        self._admission = admission.Admission(self._documents, self._allowances, self._rng)
         bound = configured.repeats
         self._budget = repeats.RepeatBudget(bound.ratio, bound.fixed, bound.window_seconds)
         self._usage = usage.WindowCounts(configured.usage.window_seconds, WINDOWS_KEPT)
@@ -146,10 +146,10 @@
         self._draining = True
         self._forwarder.drain()
         await asyncio.sleep(NOTICE_PART * grace)
+        self._admission.stop()
         self._callers.close_idle()
         while self._forwarder.under_way and loop.time() < began + STOP_PART * grace:
             await asyncio.sleep(0.02)
-        self._admission.stop()
         broken = self._forwarder.under_way
         await asyncio.gather(*(each.stop(0.1) for each in self._servers))
         for task in self._tasks:
@@ -184,14 +184,15 @@
             poll,
             have,
             entry=True,
-            asked=self._shares.take_asked(),
+            asked=self._allowances.take_asked(),
+            spent=self._allowances.take_spent(),
             loads=dict(self._sender.loads.own),
             usage={number: dict(counts) for number, counts in self._usage.counts.items()},
             demand=self._forwarder.take_demand(),
         )
 
     def _taken(self, answer: exchange.Answer) -> None:
-        self._shares.set_shares(answer.shares, clock.steady())
+        self._allowances.renew(answer.allowances)
         self._sender.loads.set_others(answer.loads)
         self._sender.set_entries(answer.entries)
         table = self._documents.table
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from coltsfoothead.coordination.configuration import lease
-from coltsfoothead.kernel.traffic import placement, quota, upstreams
+from coltsfoothead.kernel.traffic import placement, upstreams
 
 __all__ = [
     "ANNOUNCE",
@@ -67,8 +67,9 @@
         Leadership and change number of the directory that the sender has.
     entry : bool
         Whether the sender takes requests, and so needs shares.
-    asked : dict of str to float
-        Units that callers asked of each organisation's quota since the last report.
+    asked, spent : dict of str to float
+        Units that callers asked of each organisation's quota since the last report, and those of
+        the requests that were admitted.
     loads : dict of str to Load
         Requests under way per upstream.
     usage : dict of int to dict of str to int
@@ -83,6 +84,7 @@
     directory: tuple[str, int]
     entry: bool = False
     asked: dict[str, float] = {}
+    spent: dict[str, float] = {}
     loads: dict[str, placement.Load] = {}
     usage: dict[int, dict[str, int]] = {}
     demand: dict[str, Demand] = {}
@@ -104,8 +106,8 @@
     ----------
     entries : int
         Entries that report at present.
-    shares : dict of str to Share
-        Per organisation with a quota.
+    allowances : dict of str to float
+        What the asker may spend of each organisation's quota until its next report.
     loads : dict of str to Load
         What the other entries have under way per upstream.
     controls : tuple of str
@@ -115,7 +117,7 @@
     poll: lease.PollAnswer
     directory: DirectoryUpdate
     entries: int
-    shares: dict[str, quota.Share]
+    allowances: dict[str, float]
     loads: dict[str, placement.Load]
     controls: tuple[str, ...]
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -48,12 +48,20 @@
     ----------
     upstreams : Directory
     lease_seconds : float
-        Length of the lease on the document. An entry that is not heard from may use its shares
-        for as long.
+        Length of the lease on the document. An entry that is not heard from may go on for as long.
+    tolerance : Tolerance
+        Of the quotas.
     """
 
-    def __init__(self, upstreams: directory.Directory, lease_seconds: float) -> None:
+    def __init__(
+        self,
+        upstreams: directory.Directory,
+        lease_seconds: float,
+        tolerance: quota.Tolerance,
+    ) -> None:
         self._directory = upstreams
+        self._tolerance = tolerance
+        self._pools: dict[str, quota.Pool] = {}
         self._lease_seconds = lease_seconds
         self._lease = lease.LeaseSource(lease_seconds)
         self._reporters: dict[str, _Reporter] = {}
@@ -77,6 +85,9 @@
         known.report, known.at = report, now
         if not report.entry or seconds <= 0:
             return
+        for name, amount in report.spent.items():
+            if name in self._pools:
+                self._pools[name].spend(amount)
         part = min(1.0, seconds / DEMAND_SECONDS)
         for name in known.asked.keys() | report.asked.keys():
             rate = report.asked.get(name, 0.0) / max(0.05, seconds)
@@ -100,22 +111,27 @@
             if known.report.entry and now - known.at <= self._lease_seconds
         ]
 
-    def shares(
+    def allowances(
         self, sender: str, organisations: tuple[document.Organisation, ...], now: float
-    ) -> dict[str, quota.Share]:
-        """Returns an entry's shares of all quotas."""
+    ) -> dict[str, float]:
+        """Returns what an entry may spend of all quotas until its next report."""
         entries = self.entries(now)
-        shares = {}
+        allowances = {}
         for organisation in organisations:
-            if organisation.quota is None:
+            limit = organisation.quota
+            if limit is None:
                 continue
+            pool = self._pools.get(organisation.name)
+            if pool is None:
+                pool = quota.Pool(limit, self._tolerance, now)
+                self._pools[organisation.name] = pool
+            pool.set_quota(limit, now)
             asked = {
                 each: self._reporters[each].asked.get(organisation.name, 0.0) for each in entries
             }
-            share = quota.divide(organisation.quota, asked).get(sender)
-            if share is not None:
-                shares[organisation.name] = share
-        return shares
+            parts = quota.divide(pool.level(now), asked)
+            allowances[organisation.name] = parts.get(sender, 0.0)
+        return allowances
 
     def other_loads(self, sender: str, now: float) -> dict[str, placement.Load]:
         """Returns what the entries other than `sender` have under way per upstream."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/settings.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/settings.py
@@ -69,6 +69,13 @@
     window_seconds: daemon_settings.Seconds
 
 
+class Quotas(_Table):
+    """By how much the platform lets quotas be exceeded: a part of them, and units besides."""
+
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 class Usage(_Table):
     """Windows of the usage reports and when a report is due."""
 
@@ -94,6 +101,7 @@
     document: Document
     repeats: Repeats
     usage: Usage
+    quotas: Quotas = Quotas()
     zones: dict[str, str] = {}
     cloud: Cloud | None = None
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termkeeper.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termkeeper.py
@@ -15,6 +15,7 @@
     exchange,
     leadership,
 )
+from coltsfoothead.kernel.traffic import quota
 
 __all__ = ["TermKeeper"]
 
@@ -39,6 +40,8 @@
         Length of the lease on the document.
     usage_seconds : float
         How long the usage of a silent entry is kept.
+    tolerance : Tolerance
+        Of the quotas.
     controls : callable
         Returns the peer addresses of the live control processes.
     events : EventLog
@@ -53,6 +56,7 @@
         interval_seconds: float,
         lease_seconds: float,
         usage_seconds: float,
+        tolerance: quota.Tolerance,
         controls: Callable[[], list[str]],
         events: eventlog.EventLog,
     ) -> None:
@@ -63,6 +67,7 @@
         self._interval_seconds = interval_seconds
         self._lease_seconds = lease_seconds
         self._usage_seconds = usage_seconds
+        self._tolerance = tolerance
         self._controls = controls
         self._events = events
         self._current: leadership.Leadership | None = None
@@ -115,7 +120,7 @@
             lease.answer(report.poll, term.lease.remaining(now), state),
             term.directory.update(report.directory),
             len(term.entries(now)),
-            term.shares(report.sender, organisations, now) if report.entry else {},
+            term.allowances(report.sender, organisations, now) if report.entry else {},
             term.other_loads(report.sender, now) if report.entry else {},
             tuple(self._controls()),
         )
@@ -126,7 +131,7 @@
         leadership_id = f"{self._replica}/{number}"
         inherited = self._copy.records
         upstreams = directory.Directory(leadership_id, self._interval_seconds, inherited, now)
-        self._current = leadership.Leadership(upstreams, self._lease_seconds)
+        self._current = leadership.Leadership(upstreams, self._lease_seconds, self._tolerance)
         self._events.write("leading", term=number, upstreams=len(inherited))
 
     def _end(self) -> None:
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/quota.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/quota.py
@@ -1,27 +1,40 @@
-"""Shares of an organisation's rate among the entries.
+"""Quotas of organisations over all entries.
 
-The leader divides each rate by the demand that the entries report; an entry admits against its
-share with a token bucket. A bucket admits while it is above zero and may go into debt by one
-request, so that a request larger than the share is not refused for ever.
+The leader keeps one token bucket per organisation. An entry may spend an allowance until its next
+exchange with the leader; the allowances that are out together never exceed what the bucket holds,
+so an entry that is cut off can spend no more than its last one.
 """
 
 import dataclasses
+import random
 from collections.abc import Mapping
 
 from coltsfoothead.kernel.traffic import document
 
-__all__ = ["Bucket", "Share", "cost", "divide"]
+__all__ = ["Allowance", "Pool", "Tolerance", "cost", "divide"]
 
-# Part of a rate that is divided evenly, so that an entry without recent demand can admit at once.
+# Part of what is left that is divided evenly, so that an entry without recent demand can admit.
 EVEN_PART = 0.25
+# Part of the tolerance that is used; the rest covers requests that are larger than an allowance.
+USED_PART = 0.5
+# Part of its burst that a bucket holds whose past is not known.
+FIRST_PART = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Share:
-    """Rate per second and burst that one entry may admit."""
+class Tolerance:
+    """By how much the platform lets a quota be exceeded.
 
-    rate: float
-    burst: float
+    Attributes
+    ----------
+    overage : float
+        Part of rate and burst.
+    slack : float
+        Units besides.
+    """
+
+    overage: float = 0.0
+    slack: float = 0.0
 
 
 def cost(quota: document.Quota, tokens: int | None) -> float:
@@ -31,74 +44,102 @@
     return float(tokens) if tokens is not None else quota.plain_tokens
 
 
-def divide(quota: document.Quota, demand: Mapping[str, float]) -> dict[str, Share]:
-    """Divides a quota among entries.
+def divide(amount: float, demand: Mapping[str, float]) -> dict[str, float]:
+    """Divides what a bucket holds among entries.
 
     Parameters
     ----------
-    quota : Quota
+    amount : float
     demand : mapping of str to float
         Units per second that callers asked of each entry.
 
     Returns
     -------
-    dict of str to Share
-        The shares add up to the quota.
+    dict of str to float
+        The parts add up to `amount`, or are 0 if there is nothing left.
     """
-    if not demand:
-        return {}
+    if amount <= 0 or not demand:
+        return dict.fromkeys(demand, 0.0)
     even = EVEN_PART / len(demand)
     total = sum(demand.values())
-    shares = {}
-    for entry, wanted in demand.items():
-        asked = wanted / total if total > 0 else 1 / len(demand)
-        part = even + (1 - EVEN_PART) * asked
-        shares[entry] = Share(quota.rate_per_second * part, quota.burst * part)
-    return shares
+    return {
+        entry: amount * (even + (1 - EVEN_PART) * (wanted / total if total else 1 / len(demand)))
+        for entry, wanted in demand.items()
+    }
 
 
-class Bucket:
-    """Token bucket of one organisation at one entry.
+class Pool:
+    """Token bucket of one organisation at the leader.
 
     Parameters
     ----------
-    share : Share
+    quota : Quota
+    tolerance : Tolerance
     now : float
         Steady seconds.
     """
 
-    def __init__(self, share: Share, now: float) -> None:
-        self._share = share
-        self._level = share.burst
+    def __init__(self, quota: document.Quota, tolerance: Tolerance, now: float) -> None:
+        self._tolerance = tolerance
         self._at = now
+        self._level = 0.0
+        self.set_quota(quota, now)
+        self._level = FIRST_PART * self._burst
+
+    def set_quota(self, quota: document.Quota, now: float) -> None:
+        """Takes a changed quota; nothing above a smaller burst is kept."""
+        if self._at < now:
+            self.level(now)
+        part = 1 + USED_PART * self._tolerance.overage
+        self._rate = quota.rate_per_second * part
+        self._burst = quota.burst * part + USED_PART * self._tolerance.slack
+        self._level = min(self._level, self._burst)
+
+    def spend(self, amount: float) -> None:
+        """Takes what an entry has spent; the bucket may go below zero."""
+        self._level -= amount
+
+    def level(self, now: float) -> float:
+        """Returns what the bucket holds."""
+        gained = max(0.0, now - self._at) * self._rate
+        self._level = min(self._burst, self._level + gained)
+        self._at = max(self._at, now)
+        return self._level
+
+
+class Allowance:
+    """What one entry may spend of one organisation's quota until its next exchange.
 
-    def resize(self, share: Share, now: float) -> None:
-        """Takes a new share; what was saved up or owed is kept within the new burst."""
-        self._fill(now)
-        # A larger share does not bring its burst at once: another entry may just have used it.
-        self._share = share
-        self._level = min(self._level, share.burst)
-
-    def take(self, amount: float, now: float) -> bool:
-        """Takes `amount` if the bucket is above zero; returns whether it was."""
-        self._fill(now)
-        if self._level <= 0:
+    A request larger than what is left is admitted with the probability that its part is left, so
+    that large requests are neither always refused nor admitted beyond the allowance on average.
+
+    Parameters
+    ----------
+    amount : float
+    """
+
+    def __init__(self, amount: float) -> None:
+        self._left = amount
+        self._spent = 0.0
+
+    def renew(self, amount: float) -> None:
+        """Replaces the allowance by a new one of the leader."""
+        self._left = amount
+
+    def take(self, amount: float, rng: random.Random) -> bool:
+        """Takes `amount`; returns whether the request is admitted."""
+        if self._left < amount and rng.random() * amount >= self._left:
             return False
-        self._level -= amount
+        self._left = max(0.0, self._left - amount)
+        self._spent += amount
         return True
 
     def give_back(self, amount: float) -> None:
         """Returns what was taken for a request that did not run."""
-        self._level = min(self._share.burst, self._level + amount)
-
-    def wait_seconds(self, now: float) -> float:
-        """Returns the time until the bucket is above zero."""
-        self._fill(now)
-        if self._level > 0:
-            return 0.0
-        return -self._level / self._share.rate if self._share.rate > 0 else float("inf")
-
-    def _fill(self, now: float) -> None:
-        gained = max(0.0, now - self._at) * self._share.rate
-        self._level = min(self._share.burst, self._level + gained)
-        self._at = max(self._at, now)
+        self._left += amount
+        self._spent -= amount
+
+    def take_spent(self) -> float:
+        """Returns what was spent since the last call."""
+        spent, self._spent = self._spent, 0.0
+        return spent
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -1,18 +1,42 @@
-"""How many runners of each kind to order in each zone."""
+"""How many runners of each kind to order in each zone.
 
+Reclaimable runners cost a fraction of the others, and all of a zone may be taken away at once. The
+plan spreads enough reclaimable ones over the zones that the loss of one zone leaves what the demand
+needs, and fills in with others only while reclaimable ones cannot be had.
+"""
+
+import collections
 import dataclasses
-from collections.abc import Iterable
+import math
+from collections.abc import Collection
 
 from coltsfoothead.kernel.traffic import document, upstreams
 
-__all__ = ["Demand", "Order", "RunnerPlan"]
-
-# An order that could not be met is tried again after this time.
-RETRY_SECONDS = 3.0
-# Runners per zone that no reclaim can take.
-BASE = 1
-# Runners per zone in all.
-WANTED = 3
+__all__ = ["Demand", "Order", "RunnerPlan", "runners_needed"]
+
+# Tokens that one runner reads per second beside the requests that it serves, and generates per
+# second for about thirty requests at once; from the step times of the platform's sheets.
+READ_TOKENS_PER_SECOND = 56_000.0
+WRITE_TOKENS_PER_SECOND = 5_000.0
+# Part of a runner's time that demand may take, so that prompts need not wait for each other.
+BUSY_PART = 0.6
+# Part of it that is borne while reclaimable runners cannot be had.
+STRAINED_PART = 0.65
+# Part of what is needed then that has to outlive the next loss of a zone's reclaimable runners.
+# Losses follow each other within seconds, and a runner takes seconds to start.
+FIRM_PART = 0.75
+# Runners that are kept for a demand that is not known yet.
+LEAST_RUNNERS = 3
+# Time in which the noted peak of the demand falls to a half; callers come in waves of 40 s.
+PEAK_SECONDS = 30.0
+# An order is given again if its runners have not appeared this long after their boot time.
+APPEAR_SECONDS = 2.0
+# A cloud that had none is asked again after this time.
+RETRY_SECONDS = 2.0
+# Others that fill in are given back once the reclaimable ones have been there for this time.
+GIVE_BACK_SECONDS = 6.0
+# Zones whose reclaimable runners may be taken away while the rest carries the demand.
+ZONES_LOST = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +57,20 @@
     reclaimable: bool
 
 
+@dataclasses.dataclass(slots=True)
+class _Given:
+    count: int
+    at: float
+    taken: bool
+
+
+def runners_needed(demand: Demand, busy_part: float) -> int:
+    """Returns the runners that a demand keeps busy for `busy_part` of their time."""
+    seconds = demand.prompt_tokens / READ_TOKENS_PER_SECOND
+    seconds += demand.output_tokens / WRITE_TOKENS_PER_SECOND
+    return math.ceil(seconds / busy_part)
+
+
 class RunnerPlan:
     """Plans the runners of one service.
 
@@ -44,34 +82,100 @@
     def __init__(self, service: document.Service) -> None:
         assert service.scaling is not None
         self._scaling = service.scaling
-        self._ordered: dict[tuple[str, bool], int] = {}
-        self._refused: dict[tuple[str, bool], float] = {}
+        self._zones = sorted(self._scaling.zone_prices, key=self._scaling.zone_prices.__getitem__)
+        self._given: dict[tuple[str, bool], _Given] = {}
+        self._enough_since: float | None = None
+        self._peak = Demand(0.0, 0.0, 0.0)
+        self._peak_at = 0.0
 
     def orders(
-        self, known: Iterable[upstreams.Upstream], demand: Demand, now: float
+        self, known: Collection[upstreams.Upstream], demand: Demand, now: float
     ) -> list[Order]:
-        """Returns the orders that differ from those given before."""
+        """Returns the orders to give now.
+
+        Parameters
+        ----------
+        known : collection of Upstream
+            The service's runners.
+        demand : Demand
+        now : float
+            Steady seconds.
+        """
+        if not self._zones:
+            return []
+        self._note_peak(demand, now)
         ready = [each for each in known if each.state is upstreams.State.READY]
+        cheap = collections.Counter(each.zone for each in ready if each.reclaimable)
+        other = collections.Counter(each.zone for each in ready if not each.reclaimable)
+        wanted_cheap = self._reclaimable()
+        wanted_other = self._others(wanted_cheap, cheap, now)
         due = []
-        for zone in sorted(self._scaling.zone_prices):
-            here = [each for each in ready if each.zone == zone]
-            cheap = max(0, min(self._scaling.maximum, WANTED) - BASE)
-            held = sum(each.reclaimable for each in here)
-            missing = cheap - held if self._refused.get((zone, True)) else 0
-            for order in (Order(zone, BASE + missing, False), Order(zone, cheap, True)):
-                key = (zone, order.reclaimable)
-                tried = self._refused.get(key)
-                if self._ordered.get(key) != order.count or (
-                    tried is not None and now - tried >= RETRY_SECONDS
-                ):
-                    due.append(order)
-        return due
+        for zone in self._zones:
+            for count, have, kind in (
+                (wanted_cheap[zone], cheap[zone], True),
+                (wanted_other[zone], other[zone], False),
+            ):
+                if self._due(zone, kind, count, have, now):
+                    due.append(Order(zone, count, kind))
+        # What is cheap and what adds runners comes before what gives them back.
+        return sorted(due, key=lambda order: not order.reclaimable)
 
     def ordered(self, order: Order, taken: bool, now: float) -> None:
         """Notes the outcome of an order."""
-        key = (order.zone, order.reclaimable)
-        self._ordered[key] = order.count
-        if taken:
-            self._refused.pop(key, None)
-        else:
-            self._refused[key] = now
+        self._given[(order.zone, order.reclaimable)] = _Given(order.count, now, taken)
+
+    def _note_peak(self, demand: Demand, now: float) -> None:
+        kept = 0.5 ** ((now - self._peak_at) / PEAK_SECONDS) if self._peak_at else 0.0
+        self._peak_at = now
+        self._peak = Demand(
+            max(demand.requests, self._peak.requests * kept),
+            max(demand.prompt_tokens, self._peak.prompt_tokens * kept),
+            max(demand.output_tokens, self._peak.output_tokens * kept),
+        )
+
+    def _reclaimable(self) -> dict[str, int]:
+        """Returns the reclaimable runners wanted per zone."""
+        left = max(1, len(self._zones) - ZONES_LOST)
+        needed = max(runners_needed(self._peak, BUSY_PART), LEAST_RUNNERS)
+        each = min(self._scaling.maximum, math.ceil(needed / left))
+        return dict.fromkeys(self._zones, each)
+
+    def _others(
+        self, wanted: dict[str, int], cheap: collections.Counter[str], now: float
+    ) -> dict[str, int]:
+        """Returns the others wanted per zone, to fill in for reclaimable ones that are missing."""
+        held = dict.fromkeys(self._zones, 0)
+        for (zone, reclaimable), given in self._given.items():
+            if not reclaimable and zone in held:
+                held[zone] = given.count
+        needed = runners_needed(self._peak, STRAINED_PART)
+        if any(not given.taken for (_, kind), given in self._given.items() if kind):
+            needed = max(needed, LEAST_RUNNERS)
+        short = needed - sum(cheap.values())
+        if any(cheap[zone] < wanted[zone] for zone in self._zones):
+            firm = math.ceil(FIRM_PART * needed)
+            short = max(short, firm - sum(cheap.values()) + max(cheap.values(), default=0))
+        if short > 0:
+            self._enough_since = None
+            while sum(held.values()) < short:
+                open_zones = [
+                    zone for zone in self._zones if cheap[zone] + held[zone] < self._scaling.maximum
+                ]
+                if not open_zones:
+                    break
+                held[min(open_zones, key=lambda zone: cheap[zone] + held[zone])] += 1
+            return held
+        self._enough_since = now if self._enough_since is None else self._enough_since
+        if now - self._enough_since >= GIVE_BACK_SECONDS:
+            return dict.fromkeys(self._zones, 0)
+        return held
+
+    def _due(self, zone: str, reclaimable: bool, count: int, have: int, now: float) -> bool:
+        given = self._given.get((zone, reclaimable))
+        if given is None:
+            return True
+        if not given.taken:
+            return now - given.at >= RETRY_SECONDS
+        if given.count != count:
+            return True
+        return have < count and now - given.at >= self._scaling.boot_seconds + APPEAR_SECONDS
--- /dev/null
+++ b/packages/kernel/tests/test_runnerplan.py
@@ -0,0 +1,148 @@
+"""Tests of the plan of runners against reclaims, played without a network."""
+
+import unittest
+
+import traffic_builders as builders
+
+from coltsfoothead.kernel.traffic import runnerplan, upstreams
+
+STEP_SECONDS = 0.5
+# From an order to the first announcement of a runner: its boot time and one announcement.
+START_SECONDS = 5.0
+
+
+class Cloud:
+    """Runners of one service as the cloud starts and takes them."""
+
+    def __init__(self):
+        self.plan = runnerplan.RunnerPlan(builders.scaled_service())
+        self.now = 100.0
+        self.dry_until = 0.0
+        self.starting = []
+        self.runners = {}
+        self.made = 0
+        self.spent = 0.0
+
+    def count(self, zone=None, reclaimable=None):
+        """Returns the runners that serve."""
+        return sum(
+            (zone is None or each.zone == zone)
+            and (reclaimable is None or each.reclaimable == reclaimable)
+            for each in self.runners.values()
+        )
+
+    def reclaim(self, zone, dry_seconds):
+        """Takes all reclaimable runners of a zone away; there are none for some time."""
+        self.dry_until = max(self.dry_until, self.now + dry_seconds)
+        for name in [name for name, each in self.runners.items() if each.zone == zone]:
+            if self.runners[name].reclaimable:
+                del self.runners[name]
+
+    def run(self, seconds, demand, least=None):
+        """Plays some seconds; returns the fewest runners that served."""
+        fewest = self.count()
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_SECONDS
+            self._start_due()
+            for order in self.plan.orders(list(self.runners.values()), demand, self.now):
+                self._take(order)
+            fewest = min(fewest, self.count())
+            self.spent += self.count(reclaimable=False) + 0.15 * self.count(reclaimable=True)
+        return fewest
+
+    def _take(self, order):
+        if order.reclaimable and self.now < self.dry_until:
+            self.plan.ordered(order, False, self.now)
+            return
+        self.plan.ordered(order, True, self.now)
+        names = [
+            name
+            for name, each in self.runners.items()
+            if (each.zone, each.reclaimable) == (order.zone, order.reclaimable)
+        ]
+        for name in names[order.count :]:
+            del self.runners[name]
+        waiting = [each for each in self.starting if each[1:] == (order.zone, order.reclaimable)]
+        for _ in range(order.count - len(names) - len(waiting)):
+            self.starting.append((self.now + START_SECONDS, order.zone, order.reclaimable))
+
+    def _start_due(self):
+        for each in [each for each in self.starting if each[0] <= self.now]:
+            self.starting.remove(each)
+            self.made += 1
+            name = f"i-{self.made}"
+            self.runners[name] = builders.upstream(name, each[1], reclaimable=each[2])
+
+
+class ReclaimTest(unittest.TestCase):
+    def test_a_calm_day_runs_on_reclaimable_runners_only(self):
+        """Load pattern: steady demand, no reclaim; guards against paying the full price."""
+        cloud = Cloud()
+        cloud.run(60, builders.demand(3))
+        self.assertEqual(cloud.count(reclaimable=False), 0)
+        self.assertGreaterEqual(cloud.count(), runnerplan.runners_needed(builders.demand(3), 0.6))
+
+    def test_one_zone_reclaimed_leaves_what_the_demand_needs(self):
+        """Load pattern: steady demand, the reclaimable runners of one zone are taken away."""
+        cloud = Cloud()
+        cloud.run(30, builders.demand(3))
+        cloud.reclaim("a", dry_seconds=15)
+        fewest = cloud.run(15, builders.demand(3))
+        self.assertGreaterEqual(fewest, 3)
+
+    def test_zones_reclaimed_one_after_the_other_leave_some_runners(self):
+        """Load pattern: all three zones are taken away within seconds and none can be had."""
+        cloud = Cloud()
+        cloud.run(30, builders.demand(3))
+        for zone in "abc":
+            cloud.reclaim(zone, dry_seconds=15)
+            fewest = cloud.run(6, builders.demand(3))
+        self.assertGreaterEqual(fewest, 3)
+        cloud.run(5, builders.demand(3))
+        self.assertGreaterEqual(cloud.count(), 4)
+
+    def test_reclaimed_runners_are_ordered_again(self):
+        """Guards against a plan that ordered a number once and never looks whether it is there."""
+        cloud = Cloud()
+        cloud.run(30, builders.demand(3))
+        before = cloud.count(reclaimable=True)
+        cloud.reclaim("b", dry_seconds=10)
+        cloud.run(30, builders.demand(3))
+        self.assertEqual(cloud.count(reclaimable=True), before)
+        self.assertEqual(cloud.count(reclaimable=False), 0)
+
+    def test_a_new_holder_of_the_duty_keeps_what_serves(self):
+        """Guards against a fresh plan that gives runners back while reclaimable ones are gone."""
+        cloud = Cloud()
+        cloud.run(30, builders.demand(3))
+        for zone in "abc":
+            cloud.reclaim(zone, dry_seconds=60)
+        cloud.run(12, builders.demand(3))
+        before = cloud.count()
+        cloud.plan = runnerplan.RunnerPlan(builders.scaled_service())
+        self.assertGreaterEqual(cloud.run(10, builders.demand(3)), min(before, 4))
+
+    def test_a_peak_is_remembered(self):
+        """Load pattern: waves of callers; guards against giving back what the next wave needs."""
+        cloud = Cloud()
+        cloud.run(20, builders.demand(6))
+        high = cloud.count()
+        cloud.run(8, builders.demand(4))
+        self.assertGreaterEqual(cloud.count(), high - 3)
+
+
+class NeedTest(unittest.TestCase):
+    def test_draining_runners_do_not_count(self):
+        """Guards against counting on runners that have said that they leave."""
+        plan = runnerplan.RunnerPlan(builders.scaled_service())
+        leaving = [
+            builders.upstream(f"i-{number}", zone, upstreams.State.DRAINING, reclaimable=True)
+            for number, zone in enumerate("abcabcabc")
+        ]
+        orders = plan.orders(leaving, builders.demand(3), 10.0)
+        self.assertTrue(any(order.count > 0 and not order.reclaimable for order in orders))
+
+
+if __name__ == "__main__":
+    unittest.main()
