Keep the leader known to a process that is not in its log yet

Cause: a control process with an empty log replaced the control processes it knew by its own address every 0.2 s; a leader that was no seed lost its link while a call to it was under way, and the process never joined. Change: the leader stays among the known processes, and an empty log replaces nothing. Ruled out: seeds that lead nowhere (a follower answered and named the leader).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -303,9 +303,9 @@
             known = {**self._formation.told, **{name: at for name, (at, _) in members.items()}}
             known.pop(self._identity.replica, None)
             self._link.set_replicas(known)
-            addresses = [address for address, _ in members.values()]
-            self._link.set_controls(sorted({*addresses, *self._formation.controls()}))
-            self._link.follow(self._terms.leader_address())
+            if members:
+                self._link.set_controls(address for address, _ in members.values())
+                self._link.follow(self._terms.leader_address())
             await asyncio.sleep(formation.STEP_SECONDS)
 
     def _report(self, poll: lease.PollRequest, have: tuple[str, int]) -> exchange.Report:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leaderlink.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leaderlink.py
@@ -59,9 +59,10 @@
         self._set_peers()
 
     def set_controls(self, controls: Iterable[str]) -> None:
-        """Replaces the control processes that the leader named."""
-        if set(controls) != set(self._controls):
-            self._controls = tuple(controls)
+        """Replaces the control processes that the leader named; the leader itself stays known."""
+        known = {*controls} if self._leader is None else {*controls, self._leader}
+        if known != set(self._controls):
+            self._controls = tuple(sorted(known))
             self._set_peers()
 
     def set_replicas(self, replicas: dict[str, str]) -> None:
