Refuse at once what could not begin in time, and plan runners for admitted demand

Change: expected start against the objective by priority, from waiting tokens at the measured 22,000 a second; demand of admitted requests only; leases of 1.8 s for the duties, retried every 0.3 s; the runners of the start replaced one for one; dear runners follow a peak that falls in 5 s.

--- a/packages/daemon/src/coltsfoothead/daemon/control/leases.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/leases.py
@@ -56,6 +56,8 @@
     clock : callable
     wanted : callable, optional
         Returns whether this daemon should hold the lease now; a held one runs out otherwise.
+    retry_seconds : float, optional
+        Pause between tries while another holds it; half of its time to live by default.
     """
 
     def __init__(
@@ -67,7 +69,9 @@
         proposals: proposer.Proposer,
         clock: Callable[[], float],
         wanted: Callable[[], bool] = lambda: True,
+        retry_seconds: float | None = None,
     ) -> None:
+        self._retry_seconds = ttl_seconds / 2 if retry_seconds is None else retry_seconds
         self._wanted = wanted
         self._resource = resource
         self._holder = holder
@@ -110,7 +114,7 @@
                 return
             # Each try to take a lease that another holds costs an entry of the log.
             waiting = self._other is not None and not self.held()
-            pause = self._ttl_seconds / 2 if waiting else self._ttl_seconds / 6
+            pause = self._retry_seconds if waiting else self._ttl_seconds / 6
             await asyncio.sleep(pause)
 
     async def release(self, for_good: bool = False) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -57,7 +57,7 @@
         started : float
             Time of the event loop at which the request had arrived.
         asked : callable
-            Told of every request that the document allows, also of those over a quota.
+            Told of every request that a route takes, also of those over a quota.
 
         Raises
         ------
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -51,9 +51,10 @@
 # The operator's client waits a second before it asks another process.
 PROPOSAL_SECONDS = 2.5
 DUTIES = "duties"
-# The lease of the duties lasts a little longer than the platform's, so that two holders cannot
-# both act within one of its leases.
-DUTIES_LEASE_PART = 1.1
+# Part of the platform's lease that the lease of the duties lasts. A holder that comes back has
+# waited for the end of its own lease and of another one, which together outlast the platform's.
+DUTIES_LEASE_PART = 0.6
+DUTIES_RETRY_SECONDS = 0.3
 STOP_SECONDS = 1.5
 OPEN_RETRY_SECONDS = 0.5
 BODY_BYTES = 8 * 1024 * 1024
@@ -279,6 +280,7 @@
             self._proposals,
             clock.steady,
             wanted=lambda: self._terms.current is not None,
+            retry_seconds=DUTIES_RETRY_SECONDS,
         )
         carried = duties.Duties(
             self._cloud,
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
@@ -17,8 +17,8 @@
 
 # An order is begun only if the lease outlives its time-out, so that it cannot arrive after another
 # process has taken over.
-ORDER_TIMEOUT_SECONDS = 1.0
-MARGIN_SECONDS = 0.2
+ORDER_TIMEOUT_SECONDS = 0.6
+MARGIN_SECONDS = 0.1
 STEP_SECONDS = 0.25
 # A window is reported once the entries have sent its last counts: two exchanges and a lost one.
 SETTLE_SECONDS = 2.5
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/flight.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/flight.py
@@ -42,6 +42,7 @@
     may_have_run: bool = False
     counted: bool = False
     upstream_id: str | None = None
+    load: placement.Load | None = None
     first_at: float | None = None
 
     @property
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -116,6 +116,7 @@
         try:
             call = self._dialect.decode(caller.request)
             work = self._admission.admit(caller.request, call, started, self._asked)
+            self._note_demand(work)
             outcome, cause = await self._serve(caller, work), ""
         except ports.MalformedCallError as error:
             outcome, cause = "malformed", str(error)
@@ -260,6 +261,9 @@
 
     def _asked(self, work: flight.Flight) -> None:
         self._budget.request(work.service, clock.steady())
+
+    def _note_demand(self, work: flight.Flight) -> None:
+        """Counts an admitted request; what is over a quota needs no runners."""
         counts = self._demand.setdefault(work.service, _Counts())
         counts.requests += 1
         if work.prompt is not None:
@@ -298,6 +302,7 @@
                 "document": work.document_version,
                 "upstream": work.upstream_id,
                 "sent": work.sent,
+                "load": dataclasses.astuple(work.load) if work.load is not None else None,
                 "tokens": work.call.tokens,
                 "first_ms": round((first - started) * 1e3, 1),
             }
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -19,7 +19,7 @@
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import errors as http_errors
-from coltsfoothead.kernel.traffic import placement, repeats, upstreams
+from coltsfoothead.kernel.traffic import overload, placement, repeats, upstreams
 
 __all__ = ["Attempt", "Sender"]
 
@@ -108,8 +108,11 @@
         if chosen is None:
             cause = f"no upstream of {work.service} of {len(self._copy.records)} known"
             raise self._returns.refused(ports.RefusalReason.NO_UPSTREAM, cause)
+        if work.sent == 0:
+            self._judge(work, chosen)
         upstream = chosen.upstream
         work.upstream_id = upstream.id
+        work.load = chosen.load
         work.excluded.add(upstream.id)
         unread = self._unread_tokens(work, upstream.id)
         passage = self.loads.begin(upstream.id, unread, work.prompt is not None)
@@ -229,6 +232,16 @@
             prompt = dataclasses.replace(prompt, holders=holders)
         return self._placement.choose(candidates, prompt, self._rng)
 
+    def _judge(self, work: flight.Flight, chosen: placement.Candidate) -> None:
+        """Raises `RefusedError` if the best upstream could not answer in time."""
+        verdict = overload.judge(work.route, chosen, work.prompt)
+        if not verdict.taken:
+            cause = (
+                f"start in {verdict.expected_seconds:.2f} s of {verdict.bound_seconds:.2f}, "
+                f"{verdict.under_way} under way of {verdict.bound_under_way:.0f}"
+            )
+            raise self._returns.refused(ports.RefusalReason.OVERLOADED, cause)
+
     def _distance(self, zone: str) -> int:
         if zone == self._own_zone:
             return 0
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
@@ -23,11 +23,14 @@
     "Prompt",
     "RoundRobin",
     "rendezvous",
+    "start_seconds",
 ]
 
-# Prompt tokens that an engine reads per second beside its running requests; the sheets of the
-# platform give 56 per millisecond for an idle engine.
-READ_TOKENS_PER_SECOND = 40_000.0
+# Prompt tokens that an engine reads per second beside its running requests, from the times at which
+# requests began that found 10,000 to 30,000 tokens waiting.
+READ_TOKENS_PER_SECOND = 22_000.0
+# Tokens that an engine without waiting prompts reads per second.
+IDLE_READ_TOKENS_PER_SECOND = 56_000.0
 # Time by which one running request delays the start of another, from the step times of the sheets.
 RUNNING_SECONDS = 0.004
 # Time by which a full set of slots of a plain service delays a new request.
@@ -102,6 +105,12 @@
     holders: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
+def start_seconds(load: Load) -> float:
+    """Returns the time after which a request that joins a load is expected to begin."""
+    waiting = load.waiting_tokens / READ_TOKENS_PER_SECOND
+    return waiting + (load.running + load.waiting) * RUNNING_SECONDS
+
+
 def rendezvous(key: str, upstream_id: str) -> int:
     """Returns the rank of an upstream for a key; the highest rank is preferred."""
     return xxhash.xxh64_intdigest(f"{key}|{upstream_id}".encode())
@@ -144,13 +153,12 @@
         if prompt is None:
             taken = (load.running + load.waiting) / max(1, upstream.slots)
             return seconds + taken * FULL_SECONDS + rng.random() * 0.001
-        seconds += load.waiting_tokens / READ_TOKENS_PER_SECOND
-        seconds += (load.running + load.waiting) * RUNNING_SECONDS
+        seconds += start_seconds(load)
         held = prompt.holders.get(upstream.id, 0.0)
         if homes.get(upstream.zone) == upstream.id:
             # Other entries send the same part here, so it is likely to be held or soon needed.
             held = max(held, 0.7)
-        seconds += prompt.shared_tokens * (1 - held) / READ_TOKENS_PER_SECOND
+        seconds += prompt.shared_tokens * (1 - held) / IDLE_READ_TOKENS_PER_SECOND
         return seconds + rng.random() * 0.001
 
 
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -19,16 +19,22 @@
 READ_TOKENS_PER_SECOND = 56_000.0
 WRITE_TOKENS_PER_SECOND = 5_000.0
 # Part of a runner's time that demand may take, so that prompts need not wait for each other.
-BUSY_PART = 0.6
+BUSY_PART = 0.5
 # Part of it that is borne while reclaimable runners cannot be had.
-STRAINED_PART = 0.65
+STRAINED_PART = 0.6
 # Part of what is needed then that has to outlive the next loss of a zone's reclaimable runners.
 # Losses follow each other within seconds, and a runner takes seconds to start.
 FIRM_PART = 0.75
 # Runners that are kept for a demand that is not known yet.
 LEAST_RUNNERS = 3
-# Time in which the noted peak of the demand falls to a half; callers come in waves of 40 s.
+# Time in which the noted peak of the demand falls to a half; callers come in waves of 40 s. The
+# dear runners follow a peak that falls faster.
 PEAK_SECONDS = 30.0
+DEAR_PEAK_SECONDS = 5.0
+# A new plan waits for this long, in which every runner announces itself once.
+SETTLE_SECONDS = 1.5
+# The runners of the start are replaced one for one until the demand was seen for this long.
+LEARNING_SECONDS = 15.0
 # An order is given again if its runners have not appeared this long after their boot time.
 APPEAR_SECONDS = 2.0
 # A cloud that had none is asked again after this time.
@@ -85,8 +91,12 @@
         self._zones = sorted(self._scaling.zone_prices, key=self._scaling.zone_prices.__getitem__)
         self._given: dict[tuple[str, bool], _Given] = {}
         self._enough_since: float | None = None
-        self._peak = Demand(0.0, 0.0, 0.0)
-        self._peak_at = 0.0
+        self._peak = self._dear_peak = Demand(0.0, 0.0, 0.0)
+        self._noted_at: float | None = None
+        # Runners that were there before the demand was known, and since when it is.
+        self._began_at: float | None = None
+        self._present = LEAST_RUNNERS
+        self._known_at: float | None = None
 
     def orders(
         self, known: Collection[upstreams.Upstream], demand: Demand, now: float
@@ -103,12 +113,19 @@
         """
         if not self._zones:
             return []
-        self._note_peak(demand, now)
+        self._note_peaks(demand, now)
+        self._began_at = now if self._began_at is None else self._began_at
+        if now - self._began_at < SETTLE_SECONDS:
+            return []
         ready = [each for each in known if each.state is upstreams.State.READY]
         cheap = collections.Counter(each.zone for each in ready if each.reclaimable)
         other = collections.Counter(each.zone for each in ready if not each.reclaimable)
-        wanted_cheap = self._reclaimable()
-        wanted_other = self._others(wanted_cheap, cheap, now)
+        if self._peak.requests == 0:
+            self._present = max(self._present, len(ready))
+        elif self._known_at is None:
+            self._known_at = now
+        wanted_cheap = self._reclaimable(now)
+        wanted_other = self._others(wanted_cheap, cheap, other, now)
         due = []
         for zone in self._zones:
             for count, have, kind in (
@@ -124,31 +141,36 @@
         """Notes the outcome of an order."""
         self._given[(order.zone, order.reclaimable)] = _Given(order.count, now, taken)
 
-    def _note_peak(self, demand: Demand, now: float) -> None:
-        kept = 0.5 ** ((now - self._peak_at) / PEAK_SECONDS) if self._peak_at else 0.0
-        self._peak_at = now
-        self._peak = Demand(
-            max(demand.requests, self._peak.requests * kept),
-            max(demand.prompt_tokens, self._peak.prompt_tokens * kept),
-            max(demand.output_tokens, self._peak.output_tokens * kept),
-        )
+    def _note_peaks(self, demand: Demand, now: float) -> None:
+        seconds = now - self._noted_at if self._noted_at is not None else float("inf")
+        self._noted_at = now
+        self._peak = _decayed(self._peak, demand, seconds, PEAK_SECONDS)
+        self._dear_peak = _decayed(self._dear_peak, demand, seconds, DEAR_PEAK_SECONDS)
 
-    def _reclaimable(self) -> dict[str, int]:
+    def _reclaimable(self, now: float) -> dict[str, int]:
         """Returns the reclaimable runners wanted per zone."""
         left = max(1, len(self._zones) - ZONES_LOST)
         needed = max(runners_needed(self._peak, BUSY_PART), LEAST_RUNNERS)
-        each = min(self._scaling.maximum, math.ceil(needed / left))
+        each = math.ceil(needed / left)
+        if self._known_at is None or now - self._known_at < LEARNING_SECONDS:
+            each = max(each, math.ceil(self._present / len(self._zones)))
+        each = min(self._scaling.maximum, each)
         return dict.fromkeys(self._zones, each)
 
     def _others(
-        self, wanted: dict[str, int], cheap: collections.Counter[str], now: float
+        self,
+        wanted: dict[str, int],
+        cheap: collections.Counter[str],
+        other: collections.Counter[str],
+        now: float,
     ) -> dict[str, int]:
         """Returns the others wanted per zone, to fill in for reclaimable ones that are missing."""
-        held = dict.fromkeys(self._zones, 0)
+        # Another holder of the duty may have ordered what is there.
+        held = {zone: other[zone] if self._known_at is not None else 0 for zone in self._zones}
         for (zone, reclaimable), given in self._given.items():
             if not reclaimable and zone in held:
                 held[zone] = given.count
-        needed = runners_needed(self._peak, STRAINED_PART)
+        needed = runners_needed(self._dear_peak, STRAINED_PART)
         if any(not given.taken for (_, kind), given in self._given.items() if kind):
             needed = max(needed, LEAST_RUNNERS)
         short = needed - sum(cheap.values())
@@ -179,3 +201,13 @@
         if given.count != count:
             return True
         return have < count and now - given.at >= self._scaling.boot_seconds + APPEAR_SECONDS
+
+
+def _decayed(peak: Demand, demand: Demand, seconds: float, half_life: float) -> Demand:
+    """Returns the higher of a demand and a peak that was noted some seconds ago."""
+    kept = 0.5 ** (seconds / half_life)
+    return Demand(
+        max(demand.requests, peak.requests * kept),
+        max(demand.prompt_tokens, peak.prompt_tokens * kept),
+        max(demand.output_tokens, peak.output_tokens * kept),
+    )
--- /dev/null
+++ b/packages/kernel/tests/test_overload.py
@@ -0,0 +1,103 @@
+"""Tests of refusals under load patterns, without a network."""
+
+import random
+import unittest
+
+import traffic_builders as builders
+
+from coltsfoothead.kernel.traffic import overload, placement
+
+PROMPT = placement.Prompt("part", 5_000, 6_000)
+
+
+def candidate(running=0, waiting=0, waiting_tokens=0, name="i-1"):
+    """Returns a candidate with a load."""
+    load = placement.Load(running, waiting, waiting_tokens)
+    return placement.Candidate(builders.upstream(name), load, 0)
+
+
+def route(priority, goal_seconds=1.2):
+    """Returns a route of a priority."""
+    return builders.route(priority=priority, goal_seconds=goal_seconds)
+
+
+class JudgeTest(unittest.TestCase):
+    def test_nothing_is_refused_while_an_upstream_has_room(self):
+        """Load pattern: light traffic; guards against refusals that no caller needs."""
+        for priority in range(3):
+            for running in range(20):
+                verdict = overload.judge(route(priority), candidate(running), PROMPT)
+                self.assertTrue(verdict.taken, verdict)
+
+    def test_a_burst_is_refused_once_it_would_begin_late(self):
+        """Load pattern: a burst of long prompts; guards against answers that all come late."""
+        verdicts = [
+            overload.judge(route(0), candidate(10, waiting, waiting * 6_000), PROMPT).taken
+            for waiting in range(12)
+        ]
+        self.assertTrue(all(verdicts[:3]))
+        self.assertFalse(any(verdicts[6:]))
+
+    def test_less_urgent_kinds_are_refused_first(self):
+        """Load pattern: all kinds at once beyond what the runners read in time."""
+        for waiting_tokens in range(0, 60_000, 1_000):
+            load = candidate(15, 3, waiting_tokens)
+            taken = [overload.judge(route(priority), load, PROMPT).taken for priority in range(3)]
+            self.assertEqual(taken, sorted(taken, reverse=True), waiting_tokens)
+
+    def test_streams_under_way_are_bounded_by_the_slots(self):
+        """Load pattern: long answers pile up; guards against streams that pause too long."""
+        self.assertFalse(overload.judge(route(0), candidate(48, 3, 3_000), PROMPT).taken)
+
+    def test_plain_services_decide_by_themselves(self):
+        """Guards against refusing calls of services by the measure of model runners."""
+        self.assertTrue(overload.judge(route(2), candidate(100), None).taken)
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.rng = random.Random(7)
+        self.policy = placement.ExpectedStart()
+
+    def test_long_prompts_do_not_queue_behind_each_other(self):
+        """Load pattern: long prompts beside short ones; a short one avoids the long queue."""
+        busy = candidate(2, 3, 20_000, "i-busy")
+        free = candidate(12, 0, 0, "i-free")
+        chosen = self.policy.choose([busy, free], placement.Prompt("", 0, 600), self.rng)
+        self.assertEqual(chosen.upstream.id, "i-free")
+
+    def test_a_hot_key_spreads_once_its_upstream_is_loaded(self):
+        """Load pattern: one key gets much of the traffic; guards against one hot runner."""
+        held = placement.Prompt("hot", 5_000, 1_000, {"i-1": 1.0})
+        calm = [candidate(name="i-1"), candidate(name="i-2")]
+        self.assertEqual(self.policy.choose(calm, held, self.rng).upstream.id, "i-1")
+        loaded = [candidate(20, 4, 16_000, "i-1"), candidate(name="i-2")]
+        self.assertEqual(self.policy.choose(loaded, held, self.rng).upstream.id, "i-2")
+
+    def test_the_zone_is_left_only_for_a_clear_gain(self):
+        """Load pattern: even traffic in all zones; guards against bytes between regions."""
+        near = placement.Candidate(builders.upstream("i-1"), placement.Load(4, 0, 0), 0)
+        far = placement.Candidate(builders.upstream("i-2", "b"), placement.Load(), 2)
+        self.assertIs(self.policy.choose([near, far], PROMPT, self.rng), near)
+        flooded = placement.Candidate(builders.upstream("i-1"), placement.Load(30, 5, 30_000), 0)
+        self.assertIs(self.policy.choose([flooded, far], PROMPT, self.rng), far)
+
+    def test_entries_agree_on_the_home_of_a_part(self):
+        """Guards against each entry reading the same part at another runner of the zone."""
+        names = [f"i-{number}" for number in range(6)]
+        chosen = set()
+        for seed in range(20):
+            rng = random.Random(seed)
+            shuffled = [candidate(name=name) for name in rng.sample(names, len(names))]
+            chosen.add(self.policy.choose(shuffled, PROMPT, rng).upstream.id)
+        self.assertEqual(len(chosen), 1)
+
+    def test_a_failing_upstream_gets_little_work(self):
+        """Load pattern: one runner fails its requests while it says that it is well."""
+        failing = placement.Candidate(builders.upstream("i-1"), placement.Load(), 0, failures=2.0)
+        sound = candidate(8, 0, 0, "i-2")
+        self.assertIs(self.policy.choose([failing, sound], PROMPT, self.rng), sound)
+
+
+if __name__ == "__main__":
+    unittest.main()
