Give dear runners back in steps once they are too many

Change: what is beyond the need for 5 s is given back, zone by zone. Ruled out: dropping them when cheap ones are ordered (they need 4 s to start). Test: test_dear_runners_make_room_for_cheap_ones_again.

--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -39,8 +39,8 @@
 APPEAR_SECONDS = 2.0
 # A cloud that had none is asked again after this time.
 RETRY_SECONDS = 2.0
-# Others that fill in are given back once the reclaimable ones have been there for this time.
-GIVE_BACK_SECONDS = 6.0
+# Others that fill in are given back once they have been too many for this time.
+GIVE_BACK_SECONDS = 5.0
 # Zones whose reclaimable runners may be taken away while the rest carries the demand.
 ZONES_LOST = 1
 
@@ -90,7 +90,7 @@
         self._scaling = service.scaling
         self._zones = sorted(self._scaling.zone_prices, key=self._scaling.zone_prices.__getitem__)
         self._given: dict[tuple[str, bool], _Given] = {}
-        self._enough_since: float | None = None
+        self._surplus_since: float | None = None
         self._peak = self._dear_peak = Demand(0.0, 0.0, 0.0)
         self._noted_at: float | None = None
         # Runners that were there before the demand was known, and since when it is.
@@ -177,19 +177,32 @@
         if any(cheap[zone] < wanted[zone] for zone in self._zones):
             firm = math.ceil(FIRM_PART * needed)
             short = max(short, firm - sum(cheap.values()) + max(cheap.values(), default=0))
-        if short > 0:
-            self._enough_since = None
-            while sum(held.values()) < short:
-                open_zones = [
-                    zone for zone in self._zones if cheap[zone] + held[zone] < self._scaling.maximum
-                ]
-                if not open_zones:
-                    break
-                held[min(open_zones, key=lambda zone: cheap[zone] + held[zone])] += 1
+        surplus = sum(held.values()) - max(0, short)
+        if surplus <= 0:
+            self._surplus_since = None
+            return self._more(held, cheap, -surplus)
+        self._surplus_since = now if self._surplus_since is None else self._surplus_since
+        if now - self._surplus_since < GIVE_BACK_SECONDS:
             return held
-        self._enough_since = now if self._enough_since is None else self._enough_since
-        if now - self._enough_since >= GIVE_BACK_SECONDS:
-            return dict.fromkeys(self._zones, 0)
+        return self._fewer(held, surplus)
+
+    def _more(
+        self, held: dict[str, int], cheap: collections.Counter[str], count: int
+    ) -> dict[str, int]:
+        """Adds runners where there are fewest, within the bound of each zone."""
+        for _ in range(count):
+            fitting = [
+                zone for zone in self._zones if cheap[zone] + held[zone] < self._scaling.maximum
+            ]
+            if not fitting:
+                break
+            held[min(fitting, key=lambda zone: cheap[zone] + held[zone])] += 1
+        return held
+
+    def _fewer(self, held: dict[str, int], count: int) -> dict[str, int]:
+        """Takes runners away where there are most."""
+        for _ in range(count):
+            held[max(self._zones, key=lambda zone: held[zone])] -= 1
         return held
 
     def _due(self, zone: str, reclaimable: bool, count: int, have: int, now: float) -> bool:
--- a/packages/kernel/tests/test_runnerplan.py
+++ b/packages/kernel/tests/test_runnerplan.py
@@ -55,16 +55,22 @@
         if order.reclaimable and self.now < self.dry_until:
             self.plan.ordered(order, False, self.now)
             return
+        # The bound of a zone holds for both kinds together.
+        kind = not order.reclaimable
+        others = self.count(order.zone, kind)
+        others += sum(each[1:] == (order.zone, kind) for each in self.starting)
+        room = max(0, builders.scaled_service().scaling.maximum - others)
         self.plan.ordered(order, True, self.now)
         names = [
             name
             for name, each in self.runners.items()
             if (each.zone, each.reclaimable) == (order.zone, order.reclaimable)
         ]
+        wanted = min(order.count, room)
         for name in names[order.count :]:
             del self.runners[name]
         waiting = [each for each in self.starting if each[1:] == (order.zone, order.reclaimable)]
-        for _ in range(order.count - len(names) - len(waiting)):
+        for _ in range(wanted - len(names) - len(waiting)):
             self.starting.append((self.now + START_SECONDS, order.zone, order.reclaimable))
 
     def _start_due(self):
@@ -149,6 +155,24 @@
         cloud.run(5, builders.demand(1))
         self.assertEqual(cloud.count(), 9)
 
+    def test_dear_runners_make_room_for_cheap_ones_again(self):
+        """Load pattern: a heavy day on which all zones are reclaimed and come back.
+
+        Seen in scale-1 of kakanfo-router: twelve dear runners filled the zones' bounds, so that no
+        reclaimable ones could start, and stayed to the end of the day.
+        """
+        cloud = Cloud()
+        cloud.run(30, builders.demand(6))
+        for zone in "abc":
+            cloud.reclaim(zone, dry_seconds=10)
+            cloud.run(1, builders.demand(6))
+        cloud.run(12, builders.demand(6))
+        self.assertGreaterEqual(cloud.count(reclaimable=False), 6)
+        fewest = cloud.run(40, builders.demand(6))
+        self.assertGreaterEqual(fewest, 6)
+        self.assertEqual(cloud.count(reclaimable=False), 0)
+        self.assertGreaterEqual(cloud.count(reclaimable=True), 12)
+
     def test_a_peak_is_remembered(self):
         """Load pattern: waves of callers; guards against giving back what the next wave needs."""
         cloud = Cloud()
