--- /dev/null
+++ b/packages/coordination/tests/test_voterplan.py
@@ -0,0 +1,85 @@
+"""Tests of the plan of voters, and of write-once registers."""
+
+import unittest
+
+import machine_builders as builders
+
+from coltsfoothead.coordination import writeonce
+from coltsfoothead.coordination.membership import voterplan
+
+ADDRESSES = {name: f"10.0.0.{name}:7" for name in "12345"}
+
+
+def candidate(replica, address=None, silent=0.1):
+    """Returns a process that was heard from."""
+    return voterplan.Candidate(replica, address or f"10.0.0.{replica}:7", "z", silent)
+
+
+def plan(addresses, voters, candidates):
+    """Returns the next change as the leader, replica 1, sees it."""
+    return voterplan.next_change("1", addresses, voters, candidates, 5, 2.5)
+
+
+class NextChangeTest(unittest.TestCase):
+    def test_voters_are_added_up_to_the_number_wanted(self):
+        """Guards against a group that stays at its founders."""
+        three = {name: ADDRESSES[name] for name in "123"}
+        everyone = [candidate(name) for name in "12345"]
+        self.assertEqual(plan(three, "123", everyone), voterplan.Admit(everyone[3]))
+        with_learner = {**three, "4": ADDRESSES["4"]}
+        self.assertEqual(plan(with_learner, "123", everyone), voterplan.Promote("4"))
+        self.assertIsNone(plan(ADDRESSES, "12345", everyone))
+
+    def test_a_silent_voter_stays_without_a_standby(self):
+        """Guards against fewer voters, which fewer lost disks would destroy."""
+        quiet = [candidate("5", silent=60.0), *(candidate(name) for name in "1234")]
+        self.assertIsNone(plan(ADDRESSES, "12345", quiet))
+
+    def test_a_standby_replaces_a_silent_voter(self):
+        """Guards against a VM that is gone for good and keeps its place."""
+        heard = [candidate(name) for name in "12346"] + [candidate("5", silent=3.0)]
+        self.assertEqual(plan(ADDRESSES, "12345", heard), voterplan.Remove("5"))
+
+    def test_a_standby_waits_while_all_voters_live(self):
+        """Guards against changes of the voters that nothing asks for."""
+        heard = [candidate(name) for name in "123456"]
+        self.assertIsNone(plan(ADDRESSES, "12345", heard))
+
+    def test_an_empty_disk_replaces_its_old_replica_first(self):
+        """Guards against two replicas of one address that both count."""
+        heard = [candidate(name) for name in "1234"] + [candidate("5~new", ADDRESSES["5"])]
+        self.assertEqual(plan(ADDRESSES, "12345", heard), voterplan.Remove("5"))
+
+    def test_a_learner_that_went_silent_is_removed(self):
+        """Guards against a learner that blocks every further change."""
+        members = {name: ADDRESSES[name] for name in "1234"}
+        heard = [candidate(name) for name in "123"]
+        self.assertEqual(plan(members, "123", heard), voterplan.Remove("4"))
+
+    def test_the_leader_is_never_removed(self):
+        """Guards against a leader that removes itself as silent."""
+        heard = [candidate("1", silent=9.0), *(candidate(name) for name in "23456")]
+        self.assertNotEqual(plan(ADDRESSES, "12345", heard), voterplan.Remove("1"))
+
+
+class RegistersTest(unittest.TestCase):
+    def test_the_first_value_stays(self):
+        """Guards against two reports of one window with different counts."""
+        log = builders.Log(kinds=(writeonce.NAME,))
+        self.assertEqual(log(writeonce.Write("w/1", b"a")), writeonce.Value(b"a"))
+        self.assertEqual(log(writeonce.Write("w/1", b"b")), writeonce.Value(b"a"))
+        copied = log.copy()
+        self.assertEqual(copied(writeonce.Write("w/1", b"c")), writeonce.Value(b"a"))
+
+    def test_registers_are_bounded(self):
+        """Guards against a log that grows with every window for ever."""
+        log = builders.Log(kinds=(writeonce.NAME,))
+        for number in range(writeonce.KEPT + 10):
+            log(writeonce.Write(f"w/{number}", b"x"))
+        state = log.machine.state(writeonce.NAME)
+        self.assertIsNone(state.read("w/0"))
+        self.assertEqual(state.read(f"w/{writeonce.KEPT + 9}"), b"x")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/daemon/tests/test_gateway_directory.py
@@ -0,0 +1,127 @@
+"""Tests of the directory against late, repeated and reordered announcements."""
+
+import unittest
+
+from coltsfoothead.daemon.gateway import directory
+from coltsfoothead.kernel.traffic import upstreams
+
+INTERVAL = 1.0
+READY, LOST = upstreams.State.READY, upstreams.State.LOST
+DRAINING, GONE = upstreams.State.DRAINING, upstreams.State.GONE
+
+
+def upstream(sequence=1, state=READY, born=100, name="i-1", address="10.0.0.1:80"):
+    """Returns an announcement."""
+    return upstreams.Upstream(name, "model", address, "z", 8, state, born, sequence)
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.leader = directory.Directory("a/1", INTERVAL, {}, 0.0)
+
+    def state(self, name="i-1"):
+        return next(each.state for each in self.leader.records if each.id == name)
+
+    def test_a_late_announcement_does_not_revive_who_leaves(self):
+        """Guards against new work for an upstream that has said that it leaves."""
+        self.leader.announce(upstream(5, DRAINING), 0.0)
+        self.leader.announce(upstream(4), 0.1)
+        self.assertIs(self.state(), DRAINING)
+        self.leader.announce(upstream(6), 0.2)
+        self.assertIs(self.state(), DRAINING)
+        self.leader.withdraw("i-1", 0, 0.3)
+        self.leader.announce(upstream(7), 0.4)
+        self.assertIs(self.state(), GONE)
+
+    def test_a_new_start_under_the_same_name_counts(self):
+        """Guards against a restarted upstream that gets no work since its sequence is low."""
+        self.leader.announce(upstream(50), 0.0)
+        self.leader.withdraw("i-1", 0, 0.1)
+        self.leader.announce(upstream(1, born=200), 0.2)
+        self.assertIs(self.state(), READY)
+        self.leader.announce(upstream(60), 0.3)
+        self.assertEqual(self.leader.records[0].born, 200)
+
+    def test_a_silent_upstream_is_lost_and_may_come_back(self):
+        """Guards against sending to the dead, and against giving up who was only cut off."""
+        self.leader.announce(upstream(1), 0.0)
+        self.assertEqual(self.leader.expire(3.0), [])
+        self.assertEqual([each.id for each in self.leader.expire(3.6)], ["i-1"])
+        self.assertIs(self.state(), LOST)
+        self.leader.announce(upstream(2), 4.0)
+        self.assertIs(self.state(), READY)
+
+    def test_an_address_belongs_to_the_youngest(self):
+        """Guards against a delayed announcement of a predecessor at a reused address."""
+        self.leader.announce(upstream(1, name="i-old", born=100), 0.0)
+        self.leader.announce(upstream(1, name="i-new", born=200), 1.0)
+        self.assertIs(self.state("i-old"), GONE)
+        self.leader.announce(upstream(9, name="i-other", born=150), 1.1)
+        self.assertNotIn("i-other", [each.id for each in self.leader.records])
+
+    def test_repeated_announcements_are_no_change(self):
+        """Guards against updates that grow with the number of announcements."""
+        self.leader.announce(upstream(1), 0.0)
+        before = self.leader.update(("", 0)).number
+        for sequence in range(2, 50):
+            self.leader.announce(upstream(sequence), sequence * 0.1)
+        update = self.leader.update(("a/1", before))
+        self.assertEqual((update.number, update.changed), (before, ()))
+
+
+class CopyTest(unittest.TestCase):
+    def setUp(self):
+        self.leader = directory.Directory("a/1", INTERVAL, {}, 0.0)
+        self.copy = directory.DirectoryCopy()
+
+    def sync(self):
+        self.copy.receive(self.leader.update(self.copy.have))
+
+    def test_changes_arrive_once(self):
+        """Guards against a copy that misses a change, or is sent all of them again."""
+        seen = []
+        self.copy.on_change(lambda each: seen.append((each.id, each.state)))
+        self.leader.announce(upstream(1), 0.0)
+        self.leader.announce(upstream(1, name="i-2", address="10.0.0.2:80"), 0.0)
+        self.sync()
+        self.leader.announce(upstream(2, DRAINING), 0.1)
+        self.sync()
+        self.sync()
+        self.assertEqual(sorted(seen[:2]), [("i-1", READY), ("i-2", READY)])
+        self.assertEqual(seen[2:], [("i-1", DRAINING)])
+        self.assertEqual([each.id for each in self.copy.service("model")], ["i-2"])
+
+    def test_a_new_leader_with_an_older_view_changes_nothing_back(self):
+        """Guards against work for a leaving upstream after the leader that heard of it died."""
+        self.leader.announce(upstream(1), 0.0)
+        self.sync()
+        old = dict(self.copy.records)
+        self.leader.announce(upstream(2, DRAINING), 0.1)
+        self.sync()
+        self.leader = directory.Directory("b/2", INTERVAL, old, 1.0)
+        self.sync()
+        self.assertEqual(self.copy.service("model"), [])
+
+    def test_what_a_new_leader_does_not_know_is_lost_not_gone(self):
+        """Guards against forgetting for good who announces itself to the new leader next."""
+        self.leader.announce(upstream(1), 0.0)
+        self.sync()
+        self.leader = directory.Directory("b/2", INTERVAL, {}, 1.0)
+        self.sync()
+        self.assertIs(self.copy.records["i-1"].state, LOST)
+        self.leader.announce(upstream(2), 1.5)
+        self.sync()
+        self.assertIs(self.copy.records["i-1"].state, READY)
+
+    def test_an_old_update_is_dropped(self):
+        """Guards against two answers that overtake each other."""
+        self.leader.announce(upstream(1), 0.0)
+        first = self.leader.update(("", 0))
+        self.leader.announce(upstream(2, DRAINING), 0.1)
+        self.sync()
+        self.copy.receive(first)
+        self.assertIs(self.copy.records["i-1"].state, DRAINING)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/kernel/tests/test_traffic.py
@@ -0,0 +1,176 @@
+"""Tests of routes, quotas, the budget of repeats and usage counts."""
+
+import random
+import unittest
+
+import traffic_builders as builders
+
+from coltsfoothead.kernel.traffic import (
+    check,
+    document,
+    quota,
+    repeats,
+    routetable,
+    usage,
+)
+
+QUOTA = document.Quota(1_000.0, 2_000.0, True, 200.0)
+
+
+class RouteTableTest(unittest.TestCase):
+    def test_the_longest_prefix_wins(self):
+        """Guards against a request that goes to the service of a shorter prefix."""
+        table = routetable.RouteTable(
+            builders.routing(
+                builders.route("short", prefix="/a/"),
+                builders.route("long", prefix="/a/b/"),
+                builders.route("other", host="other.example", prefix="/"),
+            )
+        )
+        expected = {
+            ("h.example", "/a/b/c"): "long",
+            ("H.Example:80", "/a/bc"): "short",
+            ("h.example", "/a/"): "short",
+            ("h.example", "/a"): None,
+            ("h.example", "/"): None,
+            ("other.example", "/a/b/c"): "other",
+            ("", "/a/b/c"): None,
+            ("h.example", ""): None,
+        }
+        for (host, path), name in expected.items():
+            found = table.match(host, path)
+            self.assertEqual(found and found.name, name, (host, path))
+
+    def test_organisations_by_key(self):
+        """Guards against a key that opens another organisation's quota."""
+        film = document.Organisation("film", ("k1", "k2"))
+        table = routetable.RouteTable(builders.routing(builders.route(), organisations=(film,)))
+        self.assertIs(table.organisation("k2"), film)
+        self.assertIsNone(table.organisation("k3"))
+
+
+class CheckTest(unittest.TestCase):
+    def test_a_sound_document_passes(self):
+        """Guards against refusing valid changes."""
+        check.check(builders.routing(builders.route()))
+
+    def test_faults_name_what_is_wrong(self):
+        """Guards against an operator who has to guess."""
+        faults = {
+            "unknown service": builders.route(targets=(document.Target("nowhere", 1.0),)),
+            "add up to 0": builders.route(targets=(document.Target("model", 0.0),)),
+            "time-out": builders.route(timeout_seconds=0.0),
+            "slash": builders.route(prefix="/open"),
+        }
+        for text, route in faults.items():
+            with self.assertRaisesRegex(check.InvalidDocumentError, text):
+                check.check(builders.routing(route))
+
+
+class QuotaTest(unittest.TestCase):
+    def test_allowances_add_up_to_what_is_left(self):
+        """Guards against entries that together admit more than the quota."""
+        parts = quota.divide(900.0, {"a": 50.0, "b": 10.0, "c": 0.0})
+        self.assertAlmostEqual(sum(parts.values()), 900.0)
+        self.assertGreater(parts["a"], parts["b"])
+        self.assertGreater(parts["c"], 0.0)
+        self.assertEqual(quota.divide(-5.0, {"a": 1.0}), {"a": 0.0})
+
+    def test_one_organisation_at_eight_times_its_rate(self):
+        """Load pattern: a flood of one organisation at six entries that sync twice a second."""
+        rng = random.Random(3)
+        pool = quota.Pool(QUOTA, quota.Tolerance(), 0.0)
+        entries = {f"e{number}": quota.Allowance(0.0) for number in range(6)}
+        admitted = 0.0
+        now = 0.0
+        for step in range(2_000):
+            now = step * 0.01
+            for position, allowance in enumerate(entries.values()):
+                if step % 50 == position * 8:
+                    pool.spend(allowance.take_spent())
+                    parts = quota.divide(pool.level(now), dict.fromkeys(entries, 1.0))
+                    allowance.renew(parts[f"e{position}"])
+                if rng.random() < 0.13 and allowance.take(100.0, rng):
+                    admitted += 100.0
+        bound = QUOTA.rate_per_second * now + QUOTA.burst
+        self.assertLessEqual(admitted, bound * 1.1)
+        self.assertGreaterEqual(admitted, bound * 0.75)
+
+    def test_an_organisation_within_its_quota_is_not_refused(self):
+        """Load pattern: half of the quota in clumps at one entry of six."""
+        rng = random.Random(5)
+        pool = quota.Pool(QUOTA, quota.Tolerance(0.1, 1_000.0), 0.0)
+        allowance = quota.Allowance(0.0)
+        refused = 0
+        for step in range(200):
+            now = 10 + step * 0.5
+            pool.spend(allowance.take_spent())
+            allowance.renew(quota.divide(pool.level(now), {"busy": 500.0, "idle": 0.0})["busy"])
+            refused += sum(not allowance.take(50.0, rng) for _ in range(rng.choice([0, 5, 10])))
+        self.assertEqual(refused, 0)
+
+    def test_an_entry_that_is_cut_off_spends_no_more_than_its_allowance(self):
+        """Guards against a partition that multiplies the quota."""
+        rng = random.Random(1)
+        allowance = quota.Allowance(1_000.0)
+        taken = sum(100.0 for _ in range(500) if allowance.take(100.0, rng))
+        self.assertEqual(taken, 1_000.0)
+
+    def test_large_requests_are_admitted_in_proportion(self):
+        """Load pattern: requests larger than an entry's allowance, at 86 entries."""
+        rng = random.Random(2)
+        taken = sum(quota.Allowance(100.0).take(1_000.0, rng) for _ in range(5_000))
+        self.assertAlmostEqual(taken / 5_000, 0.1, delta=0.02)
+
+    def test_a_lower_quota_takes_what_was_saved_up(self):
+        """Guards against a burst of the old quota after it was lowered."""
+        pool = quota.Pool(QUOTA, quota.Tolerance(), 0.0)
+        pool.set_quota(document.Quota(10.0, 20.0, True), 1.0)
+        self.assertLessEqual(pool.level(1.0), 20.0)
+
+
+class RepeatBudgetTest(unittest.TestCase):
+    def test_repeats_stay_below_the_bound_in_every_window(self):
+        """Load pattern: every request fails; guards against retries that double the load."""
+        entries = [repeats.RepeatBudget(0.2, 52.0, 10.0) for _ in range(6)]
+        requests, spent = [], []
+        for step in range(3_000):
+            now = step * 0.01
+            for budget in entries:
+                if step % 20 == 0:
+                    budget.request("model", now)
+                    requests.append(now)
+                if budget.spend("model", len(entries), now):
+                    spent.append(now)
+        for start in range(20):
+            window = [at for at in spent if start <= at < start + 10]
+            asked = [at for at in requests if start <= at < start + 10]
+            self.assertLessEqual(len(window), 0.2 * len(asked) + 52)
+        self.assertGreater(len(spent), 100)
+
+    def test_services_have_budgets_of_their_own(self):
+        """Guards against one failing service that takes the retries of all."""
+        budget = repeats.RepeatBudget(0.2, 20.0, 10.0)
+        while budget.spend("failing", 1, 1.0):
+            pass
+        self.assertTrue(budget.spend("sound", 1, 1.0))
+
+
+class UsageTest(unittest.TestCase):
+    def test_windows_follow_the_wall_clock(self):
+        """Guards against counts in the wrong window."""
+        counts = usage.WindowCounts(5.0, kept=2)
+        for at in (9.9, 10.0, 14.999, 15.0, 21.0):
+            counts.began("film", at)
+        self.assertEqual(counts.counts, {3: {"film": 1}, 4: {"film": 1}})
+
+    def test_totals_name_every_organisation(self):
+        """Guards against a report that leaves out who sent nothing."""
+        reports = [{3: {"film": 2}}, {3: {"film": 1, "gone": 4}}, {4: {"film": 9}}]
+        self.assertEqual(
+            usage.total(reports, 3, ["film", "cafe"]), {"film": 3, "cafe": 0, "gone": 4}
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
