Serve callers within their quota while no leader renews allowances

Cause: an allowance ended with its leader; until another was elected, entries answered 429 to callers within their quota, and a new entry had a twentieth of a burst until its second exchange, since the leader read its own document later than it handed it out. Change: an allowance that is not renewed grows by the entry's part of the rate; what is taken beyond an allowance is owed; the leader takes its document before it answers with it. Ruled out: larger first allowances (86 entries would admit several bursts at once).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from coltsfoothead.daemon.gateway import allowances, documentcopy, failures, flight, ports
+from coltsfoothead.daemon.gateway import allowances, clock, documentcopy, failures, flight, ports
 from coltsfoothead.daemon.http import message
 from coltsfoothead.kernel.traffic import document, placement, quota, routetable
 
@@ -121,7 +121,7 @@
         if organisation is None or organisation.quota is None:
             return
         amount = quota.cost(organisation.quota, work.call.tokens)
-        if not self._allowances.admit(organisation, amount):
+        if not self._allowances.admit(organisation, amount, clock.steady()):
             raise self.refused(ports.RefusalReason.OVER_QUOTA)
         work.charged = amount
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/allowances.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/allowances.py
@@ -24,15 +24,15 @@
         self._allowances: dict[str, quota.Allowance] = {}
         self._asked: dict[str, float] = {}
 
-    def renew(self, amounts: Mapping[str, float]) -> None:
-        """Takes the allowances that the leader gave."""
-        for name, amount in amounts.items():
+    def renew(self, grants: Mapping[str, quota.Grant], now: float) -> None:
+        """Takes the allowances that the leader gave, at a steady time."""
+        for name, grant in grants.items():
             if name in self._allowances:
-                self._allowances[name].renew(amount)
+                self._allowances[name].renew(grant, now)
             else:
-                self._allowances[name] = quota.Allowance(amount)
+                self._allowances[name] = quota.Allowance(grant, now)
 
-    def admit(self, organisation: document.Organisation, amount: float) -> bool:
+    def admit(self, organisation: document.Organisation, amount: float, now: float) -> bool:
         """Takes `amount` from an organisation's allowance; returns whether it is admitted."""
         limit = organisation.quota
         if limit is None:
@@ -40,8 +40,9 @@
         name = organisation.name
         self._asked[name] = self._asked.get(name, 0.0) + amount
         if name not in self._allowances:
-            self._allowances[name] = quota.Allowance(FIRST_PART * limit.burst)
-        return self._allowances[name].take(amount, self._rng)
+            first = quota.Grant(FIRST_PART * limit.burst, FIRST_PART * limit.rate_per_second)
+            self._allowances[name] = quota.Allowance(first, now)
+        return self._allowances[name].take(amount, now, self._rng)
 
     def give_back(self, organisation: document.Organisation, amount: float) -> None:
         """Returns what was taken for a request that did not run."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -11,6 +11,7 @@
 from coltsfoothead.daemon.gateway import (
     admission,
     allowances,
+    clock,
     directory,
     documentcopy,
     eventlog,
@@ -192,7 +193,7 @@
         )
 
     def _taken(self, answer: exchange.Answer) -> None:
-        self._allowances.renew(answer.allowances)
+        self._allowances.renew(answer.allowances, clock.steady())
         self._sender.loads.set_others(answer.loads)
         self._sender.set_entries(answer.entries)
         table = self._documents.table
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from coltsfoothead.coordination.configuration import lease
-from coltsfoothead.kernel.traffic import placement, upstreams
+from coltsfoothead.kernel.traffic import placement, quota, upstreams
 
 __all__ = [
     "ANNOUNCE",
@@ -106,7 +106,7 @@
     ----------
     entries : int
         Entries that report at present.
-    allowances : dict of str to float
+    allowances : dict of str to Grant
         What the asker may spend of each organisation's quota until its next report.
     loads : dict of str to Load
         What the other entries have under way per upstream.
@@ -117,7 +117,7 @@
     poll: lease.PollAnswer
     directory: DirectoryUpdate
     entries: int
-    allowances: dict[str, float]
+    allowances: dict[str, quota.Grant]
     loads: dict[str, placement.Load]
     controls: tuple[str, ...]
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -113,7 +113,7 @@
 
     def allowances(
         self, sender: str, organisations: tuple[document.Organisation, ...], now: float
-    ) -> dict[str, float]:
+    ) -> dict[str, quota.Grant]:
         """Returns what an entry may spend of all quotas until its next report."""
         entries = self.entries(now)
         allowances = {}
@@ -129,8 +129,11 @@
             asked = {
                 each: self._reporters[each].asked.get(organisation.name, 0.0) for each in entries
             }
-            parts = quota.divide(pool.level(now), asked)
-            allowances[organisation.name] = parts.get(sender, 0.0)
+            amounts = quota.divide(pool.level(now), asked)
+            rates = quota.divide(limit.rate_per_second, asked)
+            allowances[organisation.name] = quota.Grant(
+                amounts.get(sender, 0.0), rates.get(sender, 0.0)
+            )
         return allowances
 
     def other_loads(self, sender: str, now: float) -> dict[str, placement.Load]:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termkeeper.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termkeeper.py
@@ -114,6 +114,9 @@
             return exchange.NotLeading(self.leader_address(), tuple(self._controls()))
         term.take(report, now)
         state = self._logs.machine(loghost.CONTROL).state(configuration.NAME)
+        if state.current.version != self._documents.version:
+            # The asker gets this document now, and needs allowances for its organisations.
+            self._take_document(term, now)
         table = self._documents.table
         organisations = table.routing.organisations if table is not None else ()
         return exchange.Answer(
@@ -150,8 +153,12 @@
             self._events.write("leadership_not_confirmed", term=self._number, cause=str(error))
             return
         term.lease.confirmed(started)
+        self._take_document(term, started)
+
+    def _take_document(self, term: leadership.Leadership, asked_at: float) -> None:
+        """Gives this process the document of its own log, as an entry gets it."""
         state = self._logs.machine(loghost.CONTROL).state(configuration.NAME)
-        poll = self._documents.poll(started)
+        poll = self._documents.poll(asked_at)
         remaining = term.lease.remaining(clock.steady())
         self._documents.receive(lease.answer(poll, remaining, state))
 
--- a/packages/daemon/tests/test_http_server.py
+++ b/packages/daemon/tests/test_http_server.py
@@ -54,6 +54,47 @@
         self.check_refusal(received, 413, "body_too_large")
         await self.check_still_serving()
 
+    async def test_two_framings_of_one_body_are_refused(self):
+        """Guards against a body that another parser takes for the next request."""
+        await self.start()
+        smuggled = b"GET /inner HTTP/1.1\r\nhost: a\r\n\r\n"
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+        received = await self.converse(
+            head + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled
+        )
+        self.check_refusal(received, 400, "malformed_request")
+        self.assertEqual(received.count(b"HTTP/1.1 "), 1)
+        self.assertIn(b"connection: close", received.lower())
+
+    async def test_a_stated_length_beyond_the_limit_is_refused_before_the_body(self):
+        """Guards against receiving a body that is refused anyway."""
+        await self.start()
+        stated = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 999999\r\n\r\n"
+        self.check_refusal(await self.converse(stated), 413, "body_too_large")
+        await self.check_still_serving()
+
+    async def test_a_caller_that_leaves_is_noticed_while_it_waits(self):
+        """Guards against work that goes on for a caller that has closed its connection."""
+        noticed = asyncio.Event()
+
+        async def wait(exchange):
+            with exchange.cancelled_when_gone():
+                try:
+                    await asyncio.sleep(10)
+                except asyncio.CancelledError:
+                    noticed.set()
+                    raise
+
+        self.server = server.Server(wait, frontend.encode_error, builders.bounds())
+        address = await self.server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.stop, 0.0)
+        host, port = address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(WHOLE)
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.wait_for(noticed.wait(), 2)
+
     async def test_a_broken_chunk_is_refused(self):
         """Guards against a parser error that ends the daemon or goes unanswered."""
         await self.start()
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/quota.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/quota.py
@@ -1,8 +1,9 @@
 """Quotas of organisations over all entries.
 
 The leader keeps one token bucket per organisation. An entry may spend an allowance until its next
-exchange with the leader; the allowances that are out together never exceed what the bucket holds,
-so an entry that is cut off can spend no more than its last one.
+exchange with the leader; the allowances that are out together never exceed what the bucket holds.
+While no leader renews an allowance it grows by the entry's part of the rate, so that callers within
+their quota are served until another leader is elected.
 """
 
 import dataclasses
@@ -11,7 +12,7 @@
 
 from coltsfoothead.kernel.traffic import document
 
-__all__ = ["Allowance", "Pool", "Tolerance", "cost", "divide"]
+__all__ = ["Allowance", "Grant", "Pool", "Tolerance", "cost", "divide"]
 
 # Part of what is left that is divided evenly, so that an entry without recent demand can admit.
 EVEN_PART = 0.25
@@ -19,6 +20,8 @@
 USED_PART = 0.5
 # Part of its burst that a bucket holds whose past is not known.
 FIRST_PART = 0.5
+# An allowance that was not renewed for this long grows by itself; exchanges come twice a second.
+RENEWAL_SECONDS = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,6 +110,14 @@
         return self._level
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """What the leader lets an entry spend: an amount, and a rate per second if it falls silent."""
+
+    amount: float
+    rate: float = 0.0
+
+
 class Allowance:
     """What one entry may spend of one organisation's quota until its next exchange.
 
@@ -115,22 +126,30 @@
 
     Parameters
     ----------
-    amount : float
+    grant : Grant
+    now : float
+        Steady seconds.
     """
 
-    def __init__(self, amount: float) -> None:
-        self._left = amount
+    def __init__(self, grant: Grant, now: float) -> None:
         self._spent = 0.0
+        self.renew(grant, now)
 
-    def renew(self, amount: float) -> None:
+    def renew(self, grant: Grant, now: float) -> None:
         """Replaces the allowance by a new one of the leader."""
-        self._left = amount
+        self._left = grant.amount
+        self._rate = grant.rate
+        self._grows_from = now + RENEWAL_SECONDS
 
-    def take(self, amount: float, rng: random.Random) -> bool:
+    def take(self, amount: float, now: float, rng: random.Random) -> bool:
         """Takes `amount`; returns whether the request is admitted."""
+        if now > self._grows_from:
+            self._left += (now - self._grows_from) * self._rate
+            self._grows_from = now
         if self._left < amount and rng.random() * amount >= self._left:
             return False
-        self._left = max(0.0, self._left - amount)
+        # What is taken beyond the allowance is owed, so that many tries do not add up to more.
+        self._left -= amount
         self._spent += amount
         return True
 
