Tell refused callers to return when the cause has probably ended, and elect sooner

Cause: callers were sent away for 0.25 to 1 s whatever the cause, and came back into the same overload or election; each of them returns once only. After a restart of all VMs a leader took 0.9 to 1.3 s. Change: a range of return times per cause; election timeouts of 0.45 to 0.9 s for the control role. Ruled out: holding requests until the entry is ready (a final answer is never held back).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -11,9 +11,21 @@
 
 # The answer that a request has timed out leaves this much sooner, so that it arrives in time.
 ANSWER_MARGIN_SECONDS = 0.02
-# Range of the time after which a refused caller should return; spread, so that callers that were
-# refused together do not return together.
-RETURN_SECONDS = (0.25, 1.0)
+# Ranges of the time after which a refused caller should return, in seconds; spread, so that callers
+# that were refused together do not return together. Callers return once or a few times only, so the
+# time is that in which the cause probably ends.
+RETURN_SECONDS = {
+    # Another entry takes the caller.
+    ports.RefusalReason.STOPPING: (0.05, 0.3),
+    # An election and one exchange with the leader.
+    ports.RefusalReason.NOT_READY: (1.0, 2.0),
+    # One interval of the announcements.
+    ports.RefusalReason.NO_UPSTREAM: (0.5, 1.5),
+    # Prompts that wait are read within about two seconds.
+    ports.RefusalReason.OVERLOADED: (0.5, 2.5),
+    # A bucket at zero fills with the rate.
+    ports.RefusalReason.OVER_QUOTA: (0.5, 2.5),
+}
 
 
 class Admission:
@@ -95,7 +107,7 @@
 
     def refused(self, reason: ports.RefusalReason, cause: str = "") -> failures.RefusedError:
         """Returns the error for a request that has not run and may come back."""
-        wait = self._rng.uniform(*RETURN_SECONDS)
+        wait = self._rng.uniform(*RETURN_SECONDS[reason])
         return failures.RefusedError(ports.Refusal(reason, wait), cause)
 
     def give_back(self, work: flight.Flight) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -44,7 +44,14 @@
 
 LOGS = {loghost.CONTROL: (configuration.NAME, lease_machine.NAME, writeonce.NAME)}
 # Documents are large beside the entries that renew leases, so snapshots come more often.
-REPLICATION = replication_settings.Settings(snapshot_entries=400, retained_entries=100)
+# Entries refuse work while there is no leader for longer than their lease; an election timeout of
+# three heartbeats is still ten times the round trip between regions.
+REPLICATION = replication_settings.Settings(
+    election_timeout_min_seconds=0.45,
+    election_timeout_max_seconds=0.9,
+    snapshot_entries=400,
+    retained_entries=100,
+)
 # Part of the time until a withdrawn key must be refused for which a document may be acted on; the
 # rest is for requests that wait at an entry.
 LEASE_PART = 0.8
--- a/packages/daemon/tests/test_leadership.py
+++ b/packages/daemon/tests/test_leadership.py
@@ -30,7 +30,7 @@
         self.assertEqual(self.term.new_reads("b"), ())
 
     def test_loads_of_the_others_add_up(self):
-        """Guards against counting an entry's own requests twice, or those of a dead one for ever."""
+        """Guards against entries that do not know who holds a part, and against long answers."""
         self.term.take(report("a", loads={"i-1": placement.Load(1, 2, 300)}), 0.0)
         self.term.take(report("b", loads={"i-1": placement.Load(3, 0, 0)}), 0.0)
         self.term.take(report("c"), 0.0)
