Replace the runners of the start one for one, also those that announce themselves late

Change: every runner that is known before the demand counts; a new plan waits 2 s. Ruled out: keeping the dear ones until cheap ones serve (nine of them cost 45 runner seconds).

--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -32,7 +32,7 @@
 PEAK_SECONDS = 30.0
 DEAR_PEAK_SECONDS = 5.0
 # A new plan waits for this long, in which every runner announces itself once.
-SETTLE_SECONDS = 1.5
+SETTLE_SECONDS = 2.0
 # The runners of the start are replaced one for one until the demand was seen for this long.
 LEARNING_SECONDS = 15.0
 # An order is given again if its runners have not appeared this long after their boot time.
@@ -121,7 +121,9 @@
         cheap = collections.Counter(each.zone for each in ready if each.reclaimable)
         other = collections.Counter(each.zone for each in ready if not each.reclaimable)
         if self._peak.requests == 0:
-            self._present = max(self._present, len(ready))
+            # Runners that announce themselves after they were given back count as well.
+            first = sum(not each.reclaimable for each in known)
+            self._present = max(self._present, first)
         elif self._known_at is None:
             self._known_at = now
         wanted_cheap = self._reclaimable(now)
