--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -26,6 +26,7 @@
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import message, server
+from coltsfoothead.kernel import registry
 from coltsfoothead.kernel.traffic import document, repeats, usage
 
 __all__ = ["Entry"]
@@ -87,6 +88,7 @@
             configured.zones,
             self._budget,
             self._admission,
+            registry.resolve("placement", configured.placement.policy)(),
             self._events,
             self._rng,
         )
@@ -195,8 +197,8 @@
 
     def _taken(self, answer: exchange.Answer) -> None:
         self._allowances.renew(answer.allowances, clock.steady())
-        self._sender.loads.set_others(answer.loads)
         now = clock.steady()
+        self._sender.loads.set_others(answer.loads, now)
         for part_id, upstream_id in answer.reads:
             self._sender.loads.heard_read(part_id, upstream_id, now)
         self._sender.set_entries(answer.entries)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/flight.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/flight.py
@@ -46,6 +46,7 @@
     counted: bool = False
     upstream_id: str | None = None
     load: placement.Load | None = None
+    load_age_seconds: float | None = None
     first_at: float | None = None
 
     @property
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -303,6 +303,7 @@
                 "upstream": work.upstream_id,
                 "sent": work.sent,
                 "load": dataclasses.astuple(work.load) if work.load is not None else None,
+                "load_age_s": work.load_age_seconds and round(work.load_age_seconds, 2),
                 "tokens": work.call.tokens,
                 "first_ms": round((first - started) * 1e3, 1),
             }
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/loads.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/loads.py
@@ -57,6 +57,7 @@
     def __init__(self) -> None:
         self._own: dict[str, placement.Load] = {}
         self._others: Mapping[str, placement.Load] = {}
+        self._others_at = float("-inf")
         self._failures: dict[str, _Failures] = {}
         self._held: collections.OrderedDict[str, dict[str, float]] = collections.OrderedDict()
         self._reads: collections.deque[tuple[str, str]] = collections.deque(maxlen=READS_KEPT)
@@ -66,9 +67,14 @@
         """Requests of this entry under way, by upstream."""
         return self._own
 
-    def set_others(self, loads: Mapping[str, placement.Load]) -> None:
+    def set_others(self, loads: Mapping[str, placement.Load], now: float) -> None:
         """Replaces what the other entries have under way."""
         self._others = loads
+        self._others_at = now
+
+    def age(self, now: float) -> float:
+        """Returns the time since the other entries' loads were heard."""
+        return now - self._others_at
 
     def begin(self, upstream_id: str, tokens: int, waits: bool) -> Passage:
         """Counts a request that is sent now.
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -60,6 +60,8 @@
     budget : RepeatBudget
     returns : Admission
         Makes the refusals that tell a caller when to come back.
+    policy : Policy
+        Chooses upstreams.
     events : EventLog
     rng : random.Random
     """
@@ -73,6 +75,7 @@
         regions: Mapping[str, str],
         budget: repeats.RepeatBudget,
         returns: admission.Admission,
+        policy: placement.Policy,
         events: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
@@ -85,7 +88,7 @@
         self._returns = returns
         self._events = events
         self._rng = rng
-        self._placement = placement.ExpectedStart()
+        self._placement = policy
         self._entries = 1
         self.loads = loads.Loads()
         copy.on_change(self._upstream_changed)
@@ -114,6 +117,7 @@
         upstream = chosen.upstream
         work.upstream_id = upstream.id
         work.load = chosen.load
+        work.load_age_seconds = self.loads.age(clock.steady())
         work.excluded.add(upstream.id)
         unread = 0
         if prompt is not None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/settings.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/settings.py
@@ -7,6 +7,8 @@
 
 from coltsfoothead.daemon import errors
 from coltsfoothead.daemon import settings as daemon_settings
+from coltsfoothead.kernel import registry
+from coltsfoothead.kernel.traffic import placement as _policies  # noqa: F401 - registers them
 
 __all__ = ["Settings", "decode", "load"]
 
@@ -52,21 +54,21 @@
 class Stop(_Table):
     """Time from the signal to stop until the process is killed."""
 
-    grace_seconds: daemon_settings.Seconds
+    grace_seconds: daemon_settings.Seconds = 8.0
 
 
 class Document(_Table):
     """How long a withdrawn key may still be accepted anywhere."""
 
-    revoke_seconds: daemon_settings.Seconds
+    revoke_seconds: daemon_settings.Seconds = 5.0
 
 
 class Repeats(_Table):
     """Bound on second tries over all entries."""
 
-    ratio: float
-    fixed: float
-    window_seconds: daemon_settings.Seconds
+    ratio: float = 0.1
+    fixed: float = 0.0
+    window_seconds: daemon_settings.Seconds = 10.0
 
 
 class Quotas(_Table):
@@ -79,15 +81,21 @@
 class Usage(_Table):
     """Windows of the usage reports and when a report is due."""
 
-    window_seconds: daemon_settings.Seconds
-    due_seconds: daemon_settings.Seconds
+    window_seconds: daemon_settings.Seconds = 5.0
+    due_seconds: daemon_settings.Seconds = 10.0
+
+
+class Placement(_Table):
+    """Name of the registered policy that chooses upstreams."""
+
+    policy: str = "expected-start"
 
 
 class Cloud(_Table):
     """The platform's API for usage reports and orders of runners."""
 
     address: daemon_settings.Address
-    lease_seconds: daemon_settings.Seconds
+    lease_seconds: daemon_settings.Seconds = 3.0
 
 
 class Settings(_Table):
@@ -97,11 +105,12 @@
     listen: Listen
     peers: Peers
     announcements: Announcements
-    stop: Stop
-    document: Document
-    repeats: Repeats
-    usage: Usage
+    stop: Stop = Stop()
+    document: Document = Document()
+    repeats: Repeats = Repeats()
+    usage: Usage = Usage()
     quotas: Quotas = Quotas()
+    placement: Placement = Placement()
     zones: dict[str, str] = {}
     cloud: Cloud | None = None
 
@@ -140,6 +149,9 @@
         if getattr(settings.listen, name) is None:
             role = settings.process.role
             raise errors.SettingsError(source, f"$.listen.{name}", f"the role {role} needs it")
+    if settings.placement.policy not in registry.names("placement"):
+        problem = f"known policies: {', '.join(registry.names('placement'))}"
+        raise errors.SettingsError(source, "$.placement.policy", problem)
     if settings.process.role == "control" and settings.process.data_folder is None:
         problem = "the role control needs a data folder"
         raise errors.SettingsError(source, "$.process.data_folder", problem)
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 from collections.abc import Mapping, Sequence
+from typing import Protocol
 
 import xxhash
 
@@ -20,6 +21,7 @@
     "ExpectedStart",
     "LeastInFlight",
     "Load",
+    "Policy",
     "Prompt",
     "RoundRobin",
     "rendezvous",
@@ -116,6 +118,15 @@
         return 0 if copied or upstream_id in self.holders else self.shared_tokens
 
 
+class Policy(Protocol):
+    """Chooses the upstream of a request."""
+
+    def choose(
+        self, candidates: Sequence[Candidate], prompt: Prompt | None, rng: random.Random
+    ) -> Candidate | None:
+        """Returns the best candidate, or None if there is none."""
+
+
 def start_seconds(load: Load) -> float:
     """Returns the time after which a request that joins a load is expected to begin."""
     waiting = load.waiting_tokens / READ_TOKENS_PER_SECOND
