Ask the next leader for a voter change when the leader dies unseen

Cause: a daemon that is asked to change voters right after the leader's VM was lost still takes the dead daemon for the leader and called it with 21 s; the call was not ended when the election was over, and the operator's command gave up after 15 s (outcome_unknown). Change: the call ends when this daemon no longer knows that leader, and the successor is asked, for 3 s; a removal that the lost leader had made counts as done.

--- a/packages/daemon/src/coltsfoothead/daemon/control/voters.py
+++ b/packages/daemon/src/coltsfoothead/daemon/control/voters.py
@@ -21,6 +21,9 @@
 # A follower learns of a commit with the next message, at the latest with a heartbeat.
 SEEN_SECONDS = 2.0
 SEEN_POLL_SECONDS = 0.01
+# Time for an election after the leader is lost; as long as a proposal waits for a leader.
+LEADER_SECONDS = 3.0
+LEADER_POLL_SECONDS = 0.05
 
 
 class VoterChangeError(errors.DaemonError):
@@ -124,26 +127,58 @@
             await asyncio.sleep(SEEN_POLL_SECONDS)
 
     async def _request(self, change: Change) -> None:
-        if self._logs.leads(change.log):
-            outcome = await self._carry_out(change)
-        else:
-            outcome = await self._ask_leader(change)
+        outcome = await self._ask_leaders(change)
         if outcome.code:
             text = f"{change.log} log: {outcome.text}"
             raise VoterChangeError(outcome.code, text, outcome.execution)
 
-    async def _ask_leader(self, change: Change) -> Outcome:
-        leader = self._proposals.leader(change.log)
-        if leader is None or leader == self._own_id:
-            return Outcome("no_leader", "no leader is known")
+    async def _ask_leaders(self, change: Change) -> Outcome:
+        """Asks the leader, and its successor if the leader is lost before it answers."""
+        outcome = Outcome("no_leader", "no leader is known")
+        deadline = time.monotonic() + LEADER_SECONDS
+        while True:
+            leader = self._proposals.leader(change.log)
+            if self._logs.leads(change.log):
+                found = await self._carry_out(change)
+            elif leader is not None and leader != self._own_id:
+                found = await self._ask(leader, change)
+            else:
+                found = Outcome("no_leader", "no leader is known")
+            if found.code == "voter_not_found" and outcome.execution == "unknown":
+                # The leader that was lost had carried out the removal.
+                return Outcome()
+            # A refusal of the successor says nothing about what the lost leader was asked.
+            if outcome.execution != "unknown" or found.code != "no_leader":
+                outcome = found
+            lost = found.code in ("no_leader", "outcome_unknown")
+            if not lost or time.monotonic() >= deadline:
+                return outcome
+            await asyncio.sleep(LEADER_POLL_SECONDS)
+
+    async def _ask(self, leader: str, change: Change) -> Outcome:
         payload = msgspec.msgpack.encode(change)
+        call = asyncio.ensure_future(
+            self._links.call(leader, METHOD, payload, CHANGE_SECONDS + 1.0)
+        )
+        # A call to a daemon that died unseen ends only with its time.
+        succession = asyncio.ensure_future(self._succeeded(change.log, leader))
         try:
-            answer = await self._links.call(leader, METHOD, payload, CHANGE_SECONDS + 1.0)
+            await asyncio.wait([call, succession], return_when=asyncio.FIRST_COMPLETED)
+            if not call.done():
+                return Outcome("outcome_unknown", f"leader {leader!r} was lost", "unknown")
+            return msgspec.msgpack.decode(call.result(), type=Outcome)
         except link_errors.PeerUnknownError as error:
             return Outcome("no_leader", str(error))
         except coordination_errors.CoordinationError as error:
             return Outcome("outcome_unknown", str(error), "unknown")
-        return msgspec.msgpack.decode(answer, type=Outcome)
+        finally:
+            call.cancel()
+            succession.cancel()
+
+    async def _succeeded(self, log: str, leader: str) -> None:
+        """Waits until this daemon no longer knows `leader` as the leader."""
+        while self._proposals.leader(log) == leader:
+            await asyncio.sleep(LEADER_POLL_SECONDS)
 
     async def _serve(self, sender: str, payload: bytes) -> bytes:
         change = msgspec.msgpack.decode(payload, type=Change)
