Share the reading of settings files and use the project's own words

Cause: two modules read and decoded settings files alike; a field of quotas carried a word of the platform; a count of late answers was declared and never filled; daemon/platform.py read notices of reclaims only, while platform/ is the adapter. Change: settingsfile.read and decode, default_tokens, no Demand.late, daemon/reclaims.py. No behaviour.

--- a/packages/daemon/src/coltsfoothead/daemon/app.py
+++ b/packages/daemon/src/coltsfoothead/daemon/app.py
@@ -13,7 +13,7 @@
 from coltsfoothead.coordination.membership import swim
 from coltsfoothead.coordination.membership import task as membership_task
 from coltsfoothead.coordination.transport import links as links_module
-from coltsfoothead.daemon import errors, metrics, platform, readiness
+from coltsfoothead.daemon import errors, metrics, readiness, reclaims
 from coltsfoothead.daemon import settings as settings_module
 from coltsfoothead.daemon.callers import frontend
 from coltsfoothead.daemon.control import (
@@ -330,7 +330,7 @@
         if url is None:
             await asyncio.Event().wait()
             return
-        seconds = await platform.wait_for_notice(
+        seconds = await reclaims.wait_for_notice(
             self._client, url, self._settings.platform.poll_seconds
         )
         logging.info("daemon %s: VM is reclaimed in %.1f s", self._settings.daemon.id, seconds)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -42,15 +42,12 @@
     output_tokens : int
         Tokens generated or expected.
     refused : int
-    late : int
-        Answers that began after their objective.
     """
 
     requests: int = 0
     prompt_tokens: int = 0
     output_tokens: int = 0
     refused: int = 0
-    late: int = 0
 
 
 class Report(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -41,7 +41,6 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     refused: int = 0
-    late: int = 0
 
 
 class Forwarder:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/settings.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from coltsfoothead.daemon import errors
+from coltsfoothead.daemon import errors, settingsfile
 from coltsfoothead.daemon import settings as daemon_settings
 from coltsfoothead.kernel import registry
 from coltsfoothead.kernel.traffic import placement as _policies  # noqa: F401 - registers them
@@ -123,11 +123,7 @@
     SettingsError
         If the file cannot be read or is malformed.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(str(path), "$", f"cannot be read: {error}") from error
-    return decode(text, str(path))
+    return decode(settingsfile.read(path), str(path))
 
 
 def decode(text: str, source: str) -> Settings:
@@ -138,13 +134,7 @@
     SettingsError
         Naming the file, the key and what was expected.
     """
-    try:
-        settings = msgspec.toml.decode(text, type=Settings)
-    except msgspec.ValidationError as error:
-        problem, _, key = str(error).partition(" - at ")
-        raise errors.SettingsError(source, key.strip("`") or "$", problem) from error
-    except msgspec.DecodeError as error:
-        raise errors.SettingsError(source, "$", f"not valid TOML: {error}") from error
+    settings = settingsfile.decode(text, source, Settings)
     for name in _NEEDED[settings.process.role]:
         if getattr(settings.listen, name) is None:
             role = settings.process.role
--- a/packages/daemon/src/coltsfoothead/daemon/settings.py
+++ b/packages/daemon/src/coltsfoothead/daemon/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from coltsfoothead.daemon import errors
+from coltsfoothead.daemon import errors, settingsfile
 
 __all__ = ["Settings", "decode", "load", "split_address"]
 
@@ -152,11 +152,7 @@
     SettingsError
         If the file cannot be read or is malformed.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(str(path), "$", f"cannot be read: {error}") from error
-    return decode(text, str(path))
+    return decode(settingsfile.read(path), str(path))
 
 
 def decode(text: str, source: str) -> Settings:
@@ -167,13 +163,7 @@
     SettingsError
         Naming the file, the key and what was expected.
     """
-    try:
-        settings = msgspec.toml.decode(text, type=Settings)
-    except msgspec.ValidationError as error:
-        problem, _, key = str(error).partition(" - at ")
-        raise errors.SettingsError(source, key.strip("`") or "$", problem) from error
-    except msgspec.DecodeError as error:
-        raise errors.SettingsError(source, "$", f"not valid TOML: {error}") from error
+    settings = settingsfile.decode(text, source, Settings)
     _check(settings, source)
     return settings
 
--- a/packages/daemon/tests/test_voters.py
+++ b/packages/daemon/tests/test_voters.py
@@ -98,9 +98,11 @@
         follower = Follower(0.0)
         follower.leader = lambda log: None
         changes = voters.VoterChanges(follower, follower, follower, "d3")
-        with unittest.mock.patch.object(voters, "LEADER_SECONDS", 0.1):
-            with self.assertRaises(voters.VoterChangeError) as caught:
-                await changes.add("d4", "127.0.0.1:9", "home-a")
+        with (
+            unittest.mock.patch.object(voters, "LEADER_SECONDS", 0.1),
+            self.assertRaises(voters.VoterChangeError) as caught,
+        ):
+            await changes.add("d4", "127.0.0.1:9", "home-a")
         self.assertEqual(
             ("no_leader", "not_run"), (caught.exception.code, caught.exception.execution)
         )
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/document.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/document.py
@@ -134,14 +134,14 @@
     ----------
     counts_tokens : bool
         Whether a request counts by its tokens or as one.
-    plain_tokens : float
+    default_tokens : float
         Tokens of a request that states none.
     """
 
     rate_per_second: float
     burst: float
     counts_tokens: bool
-    plain_tokens: float = 1.0
+    default_tokens: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/quota.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/quota.py
@@ -44,7 +44,7 @@
     """Returns what a request counts against a quota."""
     if not quota.counts_tokens:
         return 1.0
-    return float(tokens) if tokens is not None else quota.plain_tokens
+    return float(tokens) if tokens is not None else quota.default_tokens
 
 
 def divide(amount: float, demand: Mapping[str, float]) -> dict[str, float]:
