Go on with the plan of runners after a leader change

Cause: a new holder of the duties began without plans and without rates of demand, and waited 2 s before its first order, so that runners could appear and rates grow. Change: followers are told the state of the leader's plans with each exchange and a new holder goes on with it; entries report rates, so that a new leader knows the demand after one exchange; a plan follows a document that changes the service's bounds. Ruled out: orders that are slow (each takes 40 ms), the boot time (4 s, as stated).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -32,6 +32,7 @@
     identity,
     leaderlink,
     metricspage,
+    planbook,
     ports,
     settings,
     termkeeper,
@@ -99,6 +100,7 @@
         self._client = http_client.Client(entry.CONNECT_SECONDS)
         self._documents = documentcopy.DocumentCopy(dialect, self._events)
         self._copy = directory.DirectoryCopy()
+        self._plans = planbook.PlanBook()
         self._servers: list[server.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -124,6 +126,7 @@
             due,
             quota.Tolerance(self._settings.quotas.overage, self._settings.quotas.slack),
             self._formation.controls,
+            self._plans,
             self._events,
         )
         self._proposals = proposer.Proposer(
@@ -266,7 +269,7 @@
             self._documents,
             self._copy,
             self._report,
-            lambda answer: None,
+            lambda answer: self._plans.receive(answer.plans, clock.steady()),
             self._events,
             self._metrics,
         )
@@ -304,6 +307,7 @@
             self._settings.usage.due_seconds,
             lambda: self._documents.table.routing if self._documents.table else None,
             lambda: self._terms.current,
+            self._plans,
             self._events,
             self._metrics,
         )
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
@@ -8,10 +8,10 @@
 from coltsfoothead.coordination import writeonce
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon.control import leases, loghost, proposer
-from coltsfoothead.daemon.gateway import clock, eventlog, leadership, ports
+from coltsfoothead.daemon.gateway import clock, eventlog, leadership, planbook, ports
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import errors as http_errors
-from coltsfoothead.kernel.traffic import document, runnerplan, upstreams
+from coltsfoothead.kernel.traffic import demandmeter, document, upstreams
 
 __all__ = ["Duties"]
 
@@ -47,6 +47,7 @@
         Returns the document in force, or None.
     term : callable
         Returns the present leadership, or None.
+    plans : PlanBook
     events : EventLog
     metrics : Metrics
     """
@@ -63,6 +64,7 @@
         due_seconds: float,
         routing: Callable[[], document.RoutingDocument | None],
         term: Callable[[], leadership.Leadership | None],
+        plans: planbook.PlanBook,
         events: eventlog.EventLog,
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -80,7 +82,7 @@
         self._metrics = metrics
         self._wall = clock.WallClock()
         self._reported: int | None = None
-        self._plans: dict[str, runnerplan.RunnerPlan] = {}
+        self._plans = plans
         self._planned_at = 0.0
         self._fence = 0
 
@@ -93,8 +95,8 @@
                 continue
             if self._fence != self._lease.fence:
                 self._fence = self._lease.fence
-                self._plans = {}
-                self._events.write("duties_taken", fence=self._fence)
+                known = self._plans.take_over(clock.steady())
+                self._events.write("duties_taken", fence=self._fence, plans_known=known)
             done = await self._report_usage(term, routing)
             now = clock.steady()
             if now - self._planned_at >= PLAN_SECONDS:
@@ -157,11 +159,10 @@
         for service in routing.services.values():
             if service.scaling is None:
                 continue
-            plan = self._plans.setdefault(service.name, runnerplan.RunnerPlan(service))
+            plan = self._plans.plan(service, now)
             known = [each for each in term.directory.records if each.service == service.name]
-            rates = demand.get(service.name, leadership.ServiceDemand())
-            wanted = runnerplan.Demand(rates.requests, rates.prompt_tokens, rates.output_tokens)
-            for order in plan.orders(known, wanted, now):
+            rates = demand.get(service.name, demandmeter.DemandRates())
+            for order in plan.orders(known, rates, now):
                 if not self._may_order():
                     return False
                 outcome = await self._order(
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -196,7 +196,7 @@
             spent=self._allowances.take_spent(),
             loads=dict(self._sender.loads.own),
             usage={number: dict(counts) for number, counts in self._usage.counts.items()},
-            demand=self._forwarder.take_demand(),
+            demand=self._forwarder.demand(),
             reads=self._sender.loads.take_reads(),
         )
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from coltsfoothead.coordination.configuration import lease
-from coltsfoothead.kernel.traffic import placement, quota, upstreams
+from coltsfoothead.kernel.traffic import demandmeter, placement, quota, runnerplan, upstreams
 
 __all__ = [
     "ANNOUNCE",
@@ -12,7 +12,6 @@
     "SYNC",
     "Announced",
     "Answer",
-    "Demand",
     "DirectoryUpdate",
     "Draw",
     "Drawn",
@@ -37,25 +36,6 @@
 DRAW = "gateway.draw"
 
 
-class Demand(msgspec.Struct, frozen=True, array_like=True):
-    """What callers asked of one service at one entry since the last report.
-
-    Parameters
-    ----------
-    requests : int
-    prompt_tokens : int
-        Tokens that upstreams had to read or would have had to.
-    output_tokens : int
-        Tokens generated or expected.
-    refused : int
-    """
-
-    requests: int = 0
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    refused: int = 0
-
-
 class Report(msgspec.Struct, frozen=True):
     """What a process has and what it knows.
 
@@ -77,7 +57,7 @@
         Requests under way per upstream.
     usage : dict of int to dict of str to int
         Begun requests per window and organisation; totals, so that a repeat changes nothing.
-    demand : dict of str to Demand
+    demand : dict of str to DemandRates
         By service.
     reads : tuple of (str, str)
         Shared parts of prompts and the upstreams that read them, since the last report.
@@ -92,7 +72,7 @@
     spent: dict[str, float] = {}
     loads: dict[str, placement.Load] = {}
     usage: dict[int, dict[str, int]] = {}
-    demand: dict[str, Demand] = {}
+    demand: dict[str, demandmeter.DemandRates] = {}
     reads: tuple[tuple[str, str], ...] = ()
 
 
@@ -120,6 +100,8 @@
         Peer addresses of the control processes.
     reads : tuple of (str, str)
         What the reports of the other entries named since the asker's last one.
+    plans : dict of str to PlanState
+        Of the runners of each service, for control processes; the next leader goes on with them.
     """
 
     poll: lease.PollAnswer
@@ -129,6 +111,7 @@
     loads: dict[str, placement.Load]
     controls: tuple[str, ...]
     reads: tuple[tuple[str, str], ...] = ()
+    plans: dict[str, runnerplan.PlanState] = {}
 
 
 class NotLeading(msgspec.Struct, frozen=True, tag=True):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -8,7 +8,6 @@
     admission,
     clock,
     eventlog,
-    exchange,
     failures,
     flight,
     ports,
@@ -17,7 +16,7 @@
 )
 from coltsfoothead.daemon.http import errors as http_errors
 from coltsfoothead.daemon.http import message, server
-from coltsfoothead.kernel.traffic import document, repeats, usage
+from coltsfoothead.kernel.traffic import demandmeter, document, repeats, usage
 
 __all__ = ["Forwarder"]
 
@@ -35,14 +34,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class _Counts:
-    requests: int = 0
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    refused: int = 0
-
-
 class Forwarder:
     """Serves the requests of one entry.
 
@@ -76,7 +67,8 @@
         self._events = events
         self._metrics = metrics
         self._wall = clock.WallClock()
-        self._demand: dict[str, _Counts] = {}
+        self._demand: dict[str, demandmeter.DemandMeter] = {}
+        self._demand_at = clock.steady()
         self._draining = False
         self._under_way = 0
 
@@ -89,12 +81,11 @@
         """Closes callers' connections after their next answer."""
         self._draining = True
 
-    def take_demand(self) -> dict[str, exchange.Demand]:
-        """Returns what callers asked of each service since the last call."""
-        demand, self._demand = self._demand, {}
-        return {
-            name: exchange.Demand(*dataclasses.astuple(counts)) for name, counts in demand.items()
-        }
+    def demand(self) -> dict[str, demandmeter.DemandRates]:
+        """Returns the rates at which callers ask of each service."""
+        now = clock.steady()
+        seconds, self._demand_at = now - self._demand_at, now
+        return {name: meter.follow(seconds) for name, meter in self._demand.items()}
 
     def encode_error(self, status: int, error: http_errors.HttpError) -> message.Response:
         """Returns the answer for a request that could not be received."""
@@ -251,7 +242,7 @@
         refusal: ports.Refusal,
     ) -> None:
         if work is not None:
-            self._demand.setdefault(work.service, _Counts()).refused += 1
+            self._meter(work.service).count(refused=1)
         if caller.started or caller.caller_gone:
             return
         try:
@@ -265,11 +256,14 @@
 
     def _note_demand(self, work: flight.Flight) -> None:
         """Counts an admitted request; what is over a quota needs no runners."""
-        counts = self._demand.setdefault(work.service, _Counts())
-        counts.requests += 1
+        meter = self._meter(work.service)
+        meter.count(requests=1)
         if work.prompt is not None:
-            counts.prompt_tokens += work.prompt.own_tokens
-            counts.output_tokens += work.call.output_hint or work.call.most_output_tokens or 0
+            expected = work.call.output_hint or work.call.most_output_tokens or 0
+            meter.count(prompt_tokens=work.prompt.own_tokens, output_tokens=expected)
+
+    def _meter(self, service: str) -> demandmeter.DemandMeter:
+        return self._demand.setdefault(service, demandmeter.DemandMeter())
 
     def _began(self, work: flight.Flight) -> None:
         """Counts a request's usage, once."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -5,16 +5,16 @@
 
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.gateway import directory, exchange
-from coltsfoothead.kernel.traffic import document, placement, quota, usage
+from coltsfoothead.kernel.traffic import demandmeter, document, placement, quota, usage
 
-__all__ = ["Leadership", "ServiceDemand"]
+__all__ = ["Leadership"]
 
 # Loads that an entry reported longer ago are not passed on.
 LOAD_SECONDS = 2.0
 # Reads of shared parts that are passed on; at most some seconds' worth.
 READS_KEPT = 2000
-# Time in which a change of demand is followed to two thirds; shorter than the bursts of callers.
-DEMAND_SECONDS = 3.0
+# Time in which a change of what callers ask of a quota is followed to two thirds.
+ASKED_SECONDS = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,25 +23,6 @@
     at: float
     seen_reads: int
     asked: dict[str, float] = dataclasses.field(default_factory=dict)
-    demand: dict[str, "ServiceDemand"] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(slots=True)
-class ServiceDemand:
-    """Rates per second that callers ask of a service."""
-
-    requests: float = 0.0
-    prompt_tokens: float = 0.0
-    output_tokens: float = 0.0
-    refused: float = 0.0
-
-    def follow(self, counts: exchange.Demand, seconds: float) -> None:
-        """Takes the counts of the last `seconds`."""
-        part = min(1.0, seconds / DEMAND_SECONDS)
-        for name in ("requests", "prompt_tokens", "output_tokens", "refused"):
-            rate = getattr(counts, name) / max(0.05, seconds)
-            before = getattr(self, name)
-            setattr(self, name, before + part * (rate - before))
 
 
 class Leadership:
@@ -98,14 +79,11 @@
         for name, amount in report.spent.items():
             if name in self._pools:
                 self._pools[name].spend(amount)
-        part = min(1.0, seconds / DEMAND_SECONDS)
+        part = min(1.0, seconds / ASKED_SECONDS)
         for name in known.asked.keys() | report.asked.keys():
             rate = report.asked.get(name, 0.0) / max(0.05, seconds)
             before = known.asked.get(name, 0.0)
             known.asked[name] = before + part * (rate - before)
-        for name in known.demand.keys() | report.demand.keys():
-            rates = known.demand.setdefault(name, ServiceDemand())
-            rates.follow(report.demand.get(name, exchange.Demand()), seconds)
 
     def forget_old(self, now: float, usage_seconds: float) -> None:
         """Forgets processes that were not heard from while their usage was still to be reported."""
@@ -172,18 +150,13 @@
         known.seen_reads = self._last_read
         return tuple(reversed(fresh))
 
-    def demand(self, now: float) -> dict[str, ServiceDemand]:
+    def demand(self, now: float) -> dict[str, demandmeter.DemandRates]:
         """Returns the demand of all entries by service."""
-        total: dict[str, ServiceDemand] = {}
+        total: dict[str, demandmeter.DemandRates] = {}
         for known in self._reporters.values():
-            if now - known.at > LOAD_SECONDS:
-                continue
-            for name, rates in known.demand.items():
-                sums = total.setdefault(name, ServiceDemand())
-                sums.requests += rates.requests
-                sums.prompt_tokens += rates.prompt_tokens
-                sums.output_tokens += rates.output_tokens
-                sums.refused += rates.refused
+            if now - known.at <= LOAD_SECONDS:
+                for name, rates in known.report.demand.items():
+                    total[name] = total.get(name, demandmeter.DemandRates()) + rates
         return total
 
     def usage(self, window: int, organisations: list[str]) -> dict[str, int]:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termkeeper.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termkeeper.py
@@ -14,6 +14,7 @@
     eventlog,
     exchange,
     leadership,
+    planbook,
 )
 from coltsfoothead.kernel.traffic import quota
 
@@ -44,6 +45,7 @@
         Of the quotas.
     controls : callable
         Returns the peer addresses of the live control processes.
+    plans : PlanBook
     events : EventLog
     """
 
@@ -58,6 +60,7 @@
         usage_seconds: float,
         tolerance: quota.Tolerance,
         controls: Callable[[], list[str]],
+        plans: planbook.PlanBook,
         events: eventlog.EventLog,
     ) -> None:
         self._logs = logs
@@ -69,6 +72,7 @@
         self._usage_seconds = usage_seconds
         self._tolerance = tolerance
         self._controls = controls
+        self._plans = plans
         self._events = events
         self._current: leadership.Leadership | None = None
         self._number = 0
@@ -127,6 +131,7 @@
             term.other_loads(report.sender, now) if report.entry else {},
             tuple(self._controls()),
             term.new_reads(report.sender) if report.entry else (),
+            {} if report.entry else self._plans.states(now),
         )
 
     def draw(self, draw: exchange.Draw) -> exchange.Drawn:
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -10,9 +10,9 @@
 import math
 from collections.abc import Collection
 
-from coltsfoothead.kernel.traffic import document, upstreams
+from coltsfoothead.kernel.traffic import demandmeter, document, upstreams
 
-__all__ = ["Demand", "Order", "RunnerPlan", "runners_needed"]
+__all__ = ["Order", "PlanState", "RunnerPlan", "runners_needed"]
 
 # Tokens that one runner reads per second beside the requests that it serves, and generates per
 # second for about thirty requests at once; from the step times of the platform's sheets.
@@ -31,7 +31,8 @@
 # dear runners follow a peak that falls faster.
 PEAK_SECONDS = 30.0
 DEAR_PEAK_SECONDS = 5.0
-# A new plan waits for this long, in which every runner announces itself once.
+# A new plan waits for this long, in which every runner announces itself once. One that goes on with
+# the state of another holder does not.
 SETTLE_SECONDS = 2.0
 # The runners of the start are replaced one for one until the demand was seen for this long.
 LEARNING_SECONDS = 15.0
@@ -45,15 +46,6 @@
 ZONES_LOST = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Demand:
-    """Rates per second that callers ask of a service."""
-
-    requests: float
-    prompt_tokens: float
-    output_tokens: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
     """Number of runners of one kind in one zone."""
@@ -63,6 +55,38 @@
     reclaimable: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GivenOrder:
+    """An order with its outcome; `age_seconds` is the time since it was given."""
+
+    order: Order
+    taken: bool
+    age_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlanState:
+    """What a plan has to know to go on elsewhere.
+
+    Attributes
+    ----------
+    given : tuple of GivenOrder
+        The last order of each zone and kind.
+    peak, dear_peak : DemandRates
+        Peaks that the reclaimable runners and the others follow.
+    present : int
+        Runners that were there before the demand was known.
+    known_seconds : float or None
+        For how long the demand has been known.
+    """
+
+    given: tuple[GivenOrder, ...]
+    peak: demandmeter.DemandRates
+    dear_peak: demandmeter.DemandRates
+    present: int
+    known_seconds: float | None
+
+
 @dataclasses.dataclass(slots=True)
 class _Given:
     count: int
@@ -70,7 +94,7 @@
     taken: bool
 
 
-def runners_needed(demand: Demand, busy_part: float) -> int:
+def runners_needed(demand: demandmeter.DemandRates, busy_part: float) -> int:
     """Returns the runners that a demand keeps busy for `busy_part` of their time."""
     seconds = demand.prompt_tokens / READ_TOKENS_PER_SECOND
     seconds += demand.output_tokens / WRITE_TOKENS_PER_SECOND
@@ -83,23 +107,61 @@
     Parameters
     ----------
     service : Service
+    state : PlanState, optional
+        Of the previous holder of the duty.
+    now : float, optional
+        Steady seconds; needed with a state.
     """
 
-    def __init__(self, service: document.Service) -> None:
+    def __init__(
+        self, service: document.Service, state: PlanState | None = None, now: float = 0.0
+    ) -> None:
         assert service.scaling is not None
+        self._service = service
         self._scaling = service.scaling
         self._zones = sorted(self._scaling.zone_prices, key=self._scaling.zone_prices.__getitem__)
         self._given: dict[tuple[str, bool], _Given] = {}
         self._surplus_since: float | None = None
-        self._peak = self._dear_peak = Demand(0.0, 0.0, 0.0)
+        self._peak = self._dear_peak = demandmeter.DemandRates()
         self._noted_at: float | None = None
         # Runners that were there before the demand was known, and since when it is.
         self._began_at: float | None = None
         self._present = LEAST_RUNNERS
         self._known_at: float | None = None
+        if state is not None:
+            self._go_on(state, now)
+
+    @property
+    def service(self) -> document.Service:
+        """The service as it was when the plan was made."""
+        return self._service
+
+    def state(self, now: float) -> PlanState:
+        """Returns what another holder of the duty needs to go on."""
+        return PlanState(
+            tuple(
+                GivenOrder(Order(zone, given.count, reclaimable), given.taken, now - given.at)
+                for (zone, reclaimable), given in self._given.items()
+            ),
+            self._peak,
+            self._dear_peak,
+            self._present,
+            now - self._known_at if self._known_at is not None else None,
+        )
+
+    def _go_on(self, state: PlanState, now: float) -> None:
+        for each in state.given:
+            key = (each.order.zone, each.order.reclaimable)
+            self._given[key] = _Given(each.order.count, now - each.age_seconds, each.taken)
+        self._peak, self._dear_peak = state.peak, state.dear_peak
+        self._noted_at = now
+        self._present = state.present
+        if state.known_seconds is not None:
+            self._known_at = now - state.known_seconds
+        self._began_at = now - SETTLE_SECONDS
 
     def orders(
-        self, known: Collection[upstreams.Upstream], demand: Demand, now: float
+        self, known: Collection[upstreams.Upstream], demand: demandmeter.DemandRates, now: float
     ) -> list[Order]:
         """Returns the orders to give now.
 
@@ -107,7 +169,7 @@
         ----------
         known : collection of Upstream
             The service's runners.
-        demand : Demand
+        demand : DemandRates
         now : float
             Steady seconds.
         """
@@ -143,7 +205,7 @@
         """Notes the outcome of an order."""
         self._given[(order.zone, order.reclaimable)] = _Given(order.count, now, taken)
 
-    def _note_peaks(self, demand: Demand, now: float) -> None:
+    def _note_peaks(self, demand: demandmeter.DemandRates, now: float) -> None:
         seconds = now - self._noted_at if self._noted_at is not None else float("inf")
         self._noted_at = now
         self._peak = _decayed(self._peak, demand, seconds, PEAK_SECONDS)
@@ -218,10 +280,15 @@
         return have < count and now - given.at >= self._scaling.boot_seconds + APPEAR_SECONDS
 
 
-def _decayed(peak: Demand, demand: Demand, seconds: float, half_life: float) -> Demand:
+def _decayed(
+    peak: demandmeter.DemandRates,
+    demand: demandmeter.DemandRates,
+    seconds: float,
+    half_life: float,
+) -> demandmeter.DemandRates:
     """Returns the higher of a demand and a peak that was noted some seconds ago."""
     kept = 0.5 ** (seconds / half_life)
-    return Demand(
+    return demandmeter.DemandRates(
         max(demand.requests, peak.requests * kept),
         max(demand.prompt_tokens, peak.prompt_tokens * kept),
         max(demand.output_tokens, peak.output_tokens * kept),
--- a/packages/kernel/tests/test_runnerplan.py
+++ b/packages/kernel/tests/test_runnerplan.py
@@ -2,9 +2,10 @@
 
 import unittest
 
+import msgspec
 import traffic_builders as builders
 
-from coltsfoothead.kernel.traffic import runnerplan, upstreams
+from coltsfoothead.kernel.traffic import demandmeter, runnerplan, upstreams
 
 STEP_SECONDS = 0.5
 # From an order to the first announcement of a runner: its boot time and one announcement.
@@ -145,12 +146,39 @@
         cloud.run(3, builders.demand(4))
         self.assertGreaterEqual(cloud.count(reclaimable=False), before)
 
+    def test_a_new_holder_goes_on_where_the_other_stopped(self):
+        """Load pattern: two zones reclaimed one after the other, while the duty passes on between.
+
+        Seen in scale-1 of kakanfo-router: no runner was ordered for five seconds after the leader
+        was lost, while the reclaimable runners of two zones went.
+        """
+        cloud = Cloud()
+        cloud.run(30, builders.demand(3))
+        cloud.reclaim("a", dry_seconds=60)
+        cloud.run(2, builders.demand(3))
+        before = cloud.plan.state(cloud.now)
+        cloud.plan = runnerplan.RunnerPlan(builders.scaled_service(), before, cloud.now)
+        cloud.reclaim("b", dry_seconds=60)
+        runners = list(cloud.runners.values())
+        orders = cloud.plan.orders(runners, builders.demand(3), cloud.now + 0.5)
+        self.assertTrue(any(each.count > 0 and not each.reclaimable for each in orders))
+
+    def test_the_state_survives_its_codec(self):
+        """Guards against a state that the next holder cannot read."""
+        cloud = Cloud()
+        cloud.run(10, builders.demand(3))
+        state = cloud.plan.state(cloud.now)
+        decoder = msgspec.msgpack.Decoder(runnerplan.PlanState)
+        self.assertEqual(decoder.decode(msgspec.msgpack.encode(state)), state)
+        plan = runnerplan.RunnerPlan(builders.scaled_service(), state, cloud.now)
+        self.assertEqual(plan.state(cloud.now), state)
+
     def test_the_runners_of_the_start_are_replaced_one_for_one(self):
         """Load pattern: a heavy day that begins at once; guards against too few at its start."""
         cloud = Cloud()
         for number, zone in enumerate("abcabcabc"):
             cloud.runners[f"first-{number}"] = builders.upstream(f"first-{number}", zone)
-        cloud.run(10, runnerplan.Demand(0.0, 0.0, 0.0))
+        cloud.run(10, demandmeter.DemandRates())
         self.assertEqual((cloud.count(), cloud.count(reclaimable=False)), (9, 0))
         cloud.run(5, builders.demand(1))
         self.assertEqual(cloud.count(), 9)
@@ -161,7 +189,7 @@
         Seen in an incident of vaahto-reititin: four of nine runners were known when the plan began.
         """
         plan = runnerplan.RunnerPlan(builders.scaled_service())
-        idle = runnerplan.Demand(0.0, 0.0, 0.0)
+        idle = demandmeter.DemandRates()
         first = [builders.upstream(f"i-{number}", zone) for number, zone in enumerate("abca")]
         plan.orders(first, idle, 10.0)
         for order in plan.orders(first, idle, 12.5):
--- a/packages/kernel/tests/traffic_builders.py
+++ b/packages/kernel/tests/traffic_builders.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from coltsfoothead.kernel.traffic import document, runnerplan, upstreams
+from coltsfoothead.kernel.traffic import demandmeter, document, runnerplan, upstreams
 
 ZONES = {"a": 1.0, "b": 0.8, "c": 1.25}
 
@@ -22,7 +22,7 @@
 def demand(runners=3.0):
     """Returns a demand that keeps a number of runners busy all the time."""
     half = runners / 2
-    return runnerplan.Demand(
+    return demandmeter.DemandRates(
         40.0,
         half * runnerplan.READ_TOKENS_PER_SECOND,
         half * runnerplan.WRITE_TOKENS_PER_SECOND,
