Start a control role anew in its process when its disk refuses a write

Change: a failed log ends the role, not the process; the role starts anew and waits until the disk takes writes again. A stop while it waits ends the process at once. Ruled out: keeping the replica in memory without its disk, since an acknowledgement could be lost.

--- a/packages/daemon/src/coltsfoothead/daemon/errors.py
+++ b/packages/daemon/src/coltsfoothead/daemon/errors.py
@@ -1,6 +1,6 @@
 """Errors of the daemon."""
 
-__all__ = ["DaemonError", "SettingsError"]
+__all__ = ["DaemonError", "RoleFailedError", "SettingsError"]
 
 
 class DaemonError(Exception):
@@ -25,3 +25,7 @@
         self.source = source
         self.key = key
         self.problem = problem
+
+
+class RoleFailedError(DaemonError):
+    """A role lost something without which it cannot go on, but may start anew."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -12,6 +12,7 @@
     lease as lease_machine,
 )
 from coltsfoothead.coordination.configuration import lease
+from coltsfoothead.coordination.replication import errors as replication_errors
 from coltsfoothead.coordination.replication import settings as replication_settings
 from coltsfoothead.coordination.transport import links as links_module
 from coltsfoothead.daemon import errors
@@ -161,6 +162,11 @@
                 await self._logs.hand_over()
         except TimeoutError:
             self._events.write("not_handed_over")
+        await self.close()
+        self._events.write("stopped")
+
+    async def close(self) -> None:
+        """Ends everything at once."""
         await asyncio.gather(*(each.stop(0.3) for each in self._servers))
         for task in self._tasks:
             task.cancel()
@@ -168,16 +174,20 @@
         await self._logs.stop()
         await self._links.stop(0.3)
         self._client.close()
-        self._events.write("stopped")
 
     async def failed(self) -> None:
         """Waits until a task ends that should not; raises what ended it."""
         log = asyncio.create_task(self._logs.wait_failed(loghost.CONTROL))
         done, _ = await asyncio.wait([*self._tasks, log], return_when=asyncio.FIRST_COMPLETED)
+        log.cancel()
         if log in done:
-            raise errors.DaemonError(f"the log stopped: {log.result()!r}")
+            raise errors.RoleFailedError(f"the log stopped: {log.result()!r}")
         for task in done:
-            task.result()
+            try:
+                task.result()
+            except replication_errors.StoppedError as error:
+                # The task met the log's end before this one did.
+                raise errors.RoleFailedError(f"the log stopped: {error}") from error
 
     async def _open(self) -> None:
         """Opens the identity and the log; waits while the disk refuses."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -159,13 +159,17 @@
         while self._forwarder.under_way and loop.time() < began + STOP_PART * grace:
             await asyncio.sleep(0.02)
         broken = self._forwarder.under_way
+        await self.close()
+        self._events.write("stopped", broken=broken, seconds=round(loop.time() - began, 2))
+
+    async def close(self) -> None:
+        """Ends everything at once."""
         await asyncio.gather(*(each.stop(0.1) for each in self._servers))
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._links.stop(0.1)
         self._client.close()
-        self._events.write("stopped", broken=broken, seconds=round(loop.time() - began, 2))
 
     async def failed(self) -> None:
         """Waits until a task ends that should not; raises what ended it."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/main.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/main.py
@@ -39,8 +39,17 @@
     async def stop(self) -> None:
         """Stops gracefully."""
 
+    async def close(self) -> None:
+        """Ends everything at once."""
+
     async def failed(self) -> None:
-        """Waits for a failure without which the role cannot go on, and raises it."""
+        """Waits for a failure with which the role cannot go on, and raises it.
+
+        Raises
+        ------
+        RoleFailedError
+            If it may start anew.
+        """
 
 
 _ROLES: dict[str, Callable[[settings.Settings, Adapter], Role]] = {
@@ -68,24 +77,37 @@
 
 async def _run(path: pathlib.Path, configured: settings.Settings, adapter: Adapter) -> int:
     events = eventlog.EventLog(configured.process.id)
-    role = _ROLES[configured.process.role](configured, adapter)
     loop = asyncio.get_running_loop()
     stopping, changed = asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, changed.set)
-    await role.start()
-    watching = asyncio.create_task(_watch_settings(path, changed, role, events))
-    failing = asyncio.create_task(role.failed())
     waiting = asyncio.create_task(stopping.wait())
-    await asyncio.wait([failing, waiting], return_when=asyncio.FIRST_COMPLETED)
-    watching.cancel()
-    if failing.done():
-        events.warn("failed", cause=repr(failing.exception()))
-        return EXIT_FAILED
-    failing.cancel()
-    await role.stop()
-    return 0
+    while True:
+        role = _ROLES[configured.process.role](configured, adapter)
+        starting = asyncio.create_task(role.start())
+        await asyncio.wait([starting, waiting], return_when=asyncio.FIRST_COMPLETED)
+        if not starting.done():
+            # The disk has refused until now, so there is nothing to hand over.
+            starting.cancel()
+            return 0
+        starting.result()
+        watching = asyncio.create_task(_watch_settings(path, changed, role, events))
+        failing = asyncio.create_task(role.failed())
+        await asyncio.wait([failing, waiting], return_when=asyncio.FIRST_COMPLETED)
+        watching.cancel()
+        if not failing.done():
+            failing.cancel()
+            await role.stop()
+            return 0
+        try:
+            failing.result()
+        except errors.RoleFailedError as error:
+            events.warn("role_failed", cause=str(error))
+            await role.close()
+        except Exception as error:
+            events.warn("failed", cause=repr(error))
+            return EXIT_FAILED
 
 
 async def _watch_settings(
