--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/installed
 PACKAGES := coordination kernel daemon cli testsupport
 
-.PHONY: setup test lint format demo faults bench slopes
+.PHONY: setup test lint format demo faults soak bench slopes
 
 setup: $(STAMP)
 
@@ -33,6 +33,12 @@
 faults: $(STAMP)
 	$(BIN)/python -m coltsfoothead.testsupport.faults
 
+# Fresh seeds by hand: make soak SEED=1000 SEEDS=50
+SEED ?= 1
+SEEDS ?= 50
+soak: $(STAMP)
+	$(BIN)/python tools/soak.py --seed $(SEED) --count $(SEEDS) --jobs 2
+
 bench: $(STAMP)
 	$(BIN)/python tools/bench.py
 
