--- a/packages/daemon/tests/test_gateway_directory.py
+++ b/packages/daemon/tests/test_gateway_directory.py
@@ -17,6 +17,11 @@
     return upstreams.Upstream(name, "model", address, "z", 8, state, born, sequence)
 
 
+def update(leadership, *changed):
+    """Returns a whole update of the directory."""
+    return exchange.DirectoryUpdate(leadership, 1, True, changed)
+
+
 class DirectoryTest(unittest.TestCase):
     def setUp(self):
         self.leader = directory.Directory("a/1", INTERVAL, {}, 0.0)
@@ -124,6 +129,18 @@
         self.copy.receive(first)
         self.assertIs(self.copy.records["i-1"].state, DRAINING)
 
+    def test_a_new_leader_that_missed_the_last_word_does_not_bring_back_an_older_one(self):
+        """Guards against requests to an address that the upstream has left."""
+        self.copy.receive(update("a/1", upstream(5, address="10.0.0.2:80")))
+        self.copy.receive(update("b/2", upstream(4, address="10.0.0.1:80")))
+        self.assertEqual(self.copy.records["i-1"].address, "10.0.0.2:80")
+
+    def test_the_end_of_a_start_is_final_at_the_entries_too(self):
+        """Guards against work for an upstream that a later word of the same start calls ready."""
+        self.copy.receive(update("a/1", upstream(5, GONE)))
+        self.copy.receive(update("b/2", upstream(6)))
+        self.assertIs(self.copy.records["i-1"].state, GONE)
+
 
 class FillingTest(unittest.IsolatedAsyncioTestCase):
     async def test_requests_wait_while_upstreams_announce_themselves(self):
--- a/packages/kernel/tests/test_runnerplan.py
+++ b/packages/kernel/tests/test_runnerplan.py
@@ -146,6 +146,14 @@
         cloud.run(3, builders.demand(4))
         self.assertGreaterEqual(cloud.count(reclaimable=False), before)
 
+    def test_any_one_zone_may_be_lost_without_a_new_order(self):
+        """Load pattern: steady demand; the zone with the most reclaimable runners is taken away."""
+        cloud = Cloud()
+        cloud.run(30, builders.demand(3))
+        most = max(cloud.count(zone, True) for zone in "abc")
+        needed = runnerplan.runners_needed(builders.demand(3), runnerplan.BUSY_PART)
+        self.assertGreaterEqual(cloud.count() - most, needed)
+
     def test_a_new_holder_goes_on_where_the_other_stopped(self):
         """Load pattern: two zones reclaimed one after the other, while the duty passes on between.
 
