Check the duties in the soak against a stand-in of the platform's API

Change: platform/tests/cloudstand.py takes the calls; the soak checks one report per window, fences that only grow, one holder per fence and no return to a holder within the lease; calls right after a paused process went on do not count.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -20,8 +20,6 @@
 import time
 from typing import Annotated
 
-import soakchecks
-import soakplan
 import typer
 
 from coltsfoothead.daemon.http import client as http_client
@@ -32,9 +30,12 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
 
-import messages  # noqa: E402 - needs the path above
+import cloudstand  # noqa: E402 - needs the path above
+import messages  # noqa: E402
 import processes  # noqa: E402
 import runner  # noqa: E402
+import soakchecks  # noqa: E402
+import soakplan  # noqa: E402
 
 CONTROLS, ENTRIES = 5, 3
 EVENTS = 8
@@ -71,6 +72,8 @@
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._cluster = processes.Cluster(folder, CONTROLS, ENTRIES)
+        self._cloud = cloudstand.CloudStand()
+        self._thawed: list[float] = []
         self._proxy = proxy.Proxy()
         self._operator = http_client.Client(1.0)
         self._caller = http_client.Client(1.0, keep_host=True)
@@ -99,6 +102,8 @@
         for each in self._upstreams:
             await each.start()
             self._links[each.name] = await self._proxy.add_route(each.name, each.address)
+        await self._cloud.start()
+        self._cluster.cloud = self._cloud.address
         self._cluster.start()
         background = [asyncio.ensure_future(self._announce())]
         try:
@@ -120,6 +125,9 @@
                     await self._read_back(),
                     self._ended,
                     recovery,
+                    self._cloud.calls,
+                    self._thawed,
+                    processes.CLOUD_LEASE_SECONDS,
                 )
             )
         finally:
@@ -133,6 +141,7 @@
             for each in self._upstreams:
                 await each.stop()
             await self._proxy.close()
+            await self._cloud.stop()
 
     async def _play(self) -> None:
         began = time.monotonic()
@@ -185,6 +194,7 @@
                 process.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(fault.seconds)
                 process.send_signal(signal.SIGCONT)
+                self._thawed.append(time.monotonic())
             case "disk_full":
                 endless = resource.RLIM_INFINITY
                 resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, endless))
--- a/tools/soakchecks.py
+++ b/tools/soakchecks.py
@@ -4,6 +4,8 @@
 import re
 from collections.abc import Collection, Mapping, Sequence
 
+import cloudstand
+
 __all__ = ["Answer", "Observations", "Run", "check"]
 
 # Answers that promise that the request has not run and never will.
@@ -11,6 +13,8 @@
 EVENT = re.compile(rb"id: (\d+)\ndata: token (\d+)\n\n")
 # Part of the requests after the last fault that have to be served.
 RECOVERED_PART = 0.9
+# A call that was under way when its sender was paused may arrive late.
+THAW_SECONDS = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +58,12 @@
         Processes that ended without having been told to.
     recovery : sequence of bool
         Whether each request after the last fault was served.
+    calls : sequence of Call
+        What the platform's API accepted, in the order of arrival.
+    thawed : sequence of float
+        When a paused process went on.
+    lease_seconds : float
+        Within which a duty may not come back to a holder from another one.
     """
 
     answers: list[Answer]
@@ -66,6 +76,9 @@
     read_back: tuple[int, bytes] | None
     ended: Collection[str]
     recovery: Sequence[bool]
+    calls: Sequence[cloudstand.Call] = ()
+    thawed: Sequence[float] = ()
+    lease_seconds: float = 3.0
 
 
 def check(seen: Observations) -> list[str]:
@@ -83,6 +96,7 @@
         f"{run.id} ran at {run.upstream}, unasked" for run in seen.runs if run.id not in known
     ]
     broken += _document_problems(seen)
+    broken += _duty_problems(seen)
     broken += [f"{name} ended by itself" for name in seen.ended]
     served = sum(seen.recovery)
     if served < RECOVERED_PART * len(seen.recovery):
@@ -128,3 +142,41 @@
     if seen.sent_documents.get(version) != content:
         return [f"version {version} holds what nobody sent"]
     return []
+
+
+def _duty_problems(seen: Observations) -> list[str]:
+    broken = []
+    reports: dict[int, str] = {}
+    subjects: dict[str, list[cloudstand.Call]] = {}
+    for call in seen.calls:
+        if (
+            call.window is not None
+            and reports.setdefault(call.window, call.content) != call.content
+        ):
+            broken.append(f"window {call.window} was reported with different counts")
+        late = any(0 <= call.at - at <= THAW_SECONDS for at in seen.thawed)
+        before = subjects.setdefault(call.subject, [])
+        if not late:
+            broken += _holder_problems(call, before, seen.lease_seconds)
+        before.append(call)
+    return broken
+
+
+def _holder_problems(
+    call: cloudstand.Call, before: Sequence[cloudstand.Call], lease_seconds: float
+) -> list[str]:
+    """Returns what is wrong with a call after the earlier ones about the same subject."""
+    if not before:
+        return []
+    broken = []
+    highest = max(before, key=lambda each: each.fence)
+    if call.fence < highest.fence:
+        broken.append(f"{call.subject}: fence {call.fence} after {highest.fence}")
+    if call.fence == highest.fence and call.holder != highest.holder:
+        broken.append(f"{call.subject}: {call.holder} and {highest.holder} share {call.fence}")
+    others = [each for each in before if each.holder != call.holder]
+    if others and before[-1].holder != call.holder:
+        own = [each for each in before if each.holder == call.holder]
+        if own and call.at - own[-1].at < lease_seconds:
+            broken.append(f"{call.subject}: back at {call.holder} within {lease_seconds} s")
+    return broken
