--- a/packages/daemon/src/coltsfoothead/daemon/gateway/following.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/following.py
@@ -21,7 +21,7 @@
 # is read, 0.2 s, send several entries to one upstream; changes must be in force within seconds.
 SHORTEST_SECONDS = 0.15
 LONGEST_SECONDS = 0.5
-# Exchanges that the leader answers per second, at about 0.4 ms each.
+# Exchanges of all entries per second that bound the work of the leader.
 EXCHANGES_PER_SECOND = 250.0
 # An answer takes one round trip between regions; a process that does not answer is passed over.
 SYNC_TIMEOUT_SECONDS = 0.7
--- a/packages/daemon/src/coltsfoothead/daemon/settings.py
+++ b/packages/daemon/src/coltsfoothead/daemon/settings.py
@@ -145,24 +145,12 @@
 
 
 def load(path: str | pathlib.Path) -> Settings:
-    """Reads and checks a settings file.
-
-    Raises
-    ------
-    SettingsError
-        If the file cannot be read or is malformed.
-    """
+    """Reads and checks a settings file; raises `SettingsError`."""
     return decode(settingsfile.read(path), str(path))
 
 
 def decode(text: str, source: str) -> Settings:
-    """Decodes and checks the text of a settings file.
-
-    Raises
-    ------
-    SettingsError
-        Naming the file, the key and what was expected.
-    """
+    """Decodes and checks the text of a settings file; raises `SettingsError`."""
     settings = settingsfile.decode(text, source, Settings)
     _check(settings, source)
     return settings
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/quota.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/quota.py
@@ -15,8 +15,8 @@
 
 __all__ = ["Allowance", "Grant", "Pool", "Tolerance", "cost", "divide", "share"]
 
-# Part of what a bucket holds that is handed out as allowances; the rest is for draws. A request may
-# be as large as half of a bucket, and an allowance is a fraction of an entry's share.
+# Part of what a bucket holds that is handed out as allowances; the rest is for draws. The longest
+# prompts of the sheets are near half of a burst, and an entry's allowance is a fraction of it.
 HANDED_PART = 0.6
 # Part of what is left that is divided evenly, so that an entry without recent demand can admit.
 EVEN_PART = 0.25
