Wait for the write of an election in the test of a failed sync

If that write is still in a thread when the test breaks the disk, it fails instead of the write of the proposal, and the replica has stopped before it appends the proposal. StoppedError is right then: the command had no effect.

Change: the test commits one command before it breaks the disk; its assertions stay. A new test holds the write of the election back and expects StoppedError, so that both orders are checked.

Ruled out: a fault of the replica; a pending proposal that was appended gets ProposalLostError in both orders.

--- a/packages/coordination/tests/test_log_task.py
+++ b/packages/coordination/tests/test_log_task.py
@@ -28,10 +28,13 @@
         super().sync(name)
 
 
-class BrokenDisk(memory.MemoryDisk):
+class BrokenDisk(SlowDisk):
+    """Disk whose syncs fail while `broken` is set, also those that wait for `gate` meanwhile."""
+
     broken = False
 
     def sync(self, name):
+        self.gate.wait(5)
         if self.broken:
             raise OSError("input/output error")
         super().sync(name)
@@ -169,6 +172,8 @@
         """Guards against continuing after a failed sync, whose data may be lost."""
         group = await self.group(1, make_disk=lambda name: BrokenDisk())
         _, log = await group.leader()
+        # A leader is known before the write of its election has ended.
+        await log.propose(b"first")
         group.disks["n1"].broken = True
         with self.assertRaises(errors.ProposalLostError):
             await log.propose(b"x")
@@ -176,6 +181,22 @@
         with self.assertRaises(errors.StoppedError):
             await log.propose(b"x")
 
+    async def test_failed_sync_of_an_election_stops_the_replica(self):
+        """Guards against an unknown outcome for a command that was never appended."""
+        group = log_group.LogGroup(1, make_disk=lambda name: BrokenDisk())
+        await group.start()
+        self.addAsyncCleanup(group.stop)
+        broken = group.disks["n1"]
+        broken.gate.clear()
+        _, log = await group.leader()
+        proposal = asyncio.create_task(log.propose(b"x"))
+        await asyncio.sleep(0)
+        broken.broken = True
+        broken.gate.set()
+        with self.assertRaises(errors.StoppedError):
+            await proposal
+        self.assertIsInstance(await log.wait_stopped(), OSError)
+
     async def test_rolled_back_folder_stops_the_replica(self):
         """Guards against a voter that continues after its folder was restored from a copy."""
         group = await self.group()
