Change voters only once the last change is committed

A leader is known before the first entry of its term is committed, which on a loaded machine takes longer than 0.2 s; the change was refused, logged as failed and tried again.

Change: the replica tells whether its members are settled, and the leader plans no change before. The check inside the replica stays.

Ruled out: a lost change; each one was made at the next try.

--- a/packages/coordination/src/coltsfoothead/coordination/replication/raft.py
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/raft.py
@@ -94,6 +94,19 @@
         """State of the replica; read-only for callers."""
         return self._state
 
+    @property
+    def members_settled(self) -> bool:
+        """Whether the newest membership, and an entry of the current term, are committed.
+
+        Two uncommitted configurations, or one proposed before the leader has committed an entry of
+        its term, could have majorities without a common voter.
+        """
+        state = self._state
+        return (
+            state.configurations[-1][0] <= state.commit_index
+            and state.commit_index >= state.term_start_index
+        )
+
     @property
     def role(self) -> Role:
         """Role; a follower that is not a voter is a learner."""
@@ -250,13 +263,7 @@
 
     def _require_stable_members(self) -> None:
         self._require_leader()
-        state = self._state
-        if (
-            state.configurations[-1][0] > state.commit_index
-            or state.commit_index < state.term_start_index
-        ):
-            # Two uncommitted configurations, or one proposed before the leader has committed an
-            # entry of its term, could have majorities without a common voter.
+        if not self.members_settled:
             raise errors.MembershipChangeError("an earlier change is not committed yet")
 
     def _propose_members(
--- a/packages/coordination/src/coltsfoothead/coordination/replication/task.py
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/task.py
@@ -114,6 +114,12 @@
         members = self._require_started().state.members
         return {name: (member.address, member.zone) for name, member in members.items()}
 
+    @property
+    def accepts_member_changes(self) -> bool:
+        """Whether this replica leads and no earlier change of its members is uncommitted."""
+        replica = self._require_started()
+        return replica.role is state_module.Role.LEADER and replica.members_settled
+
     async def start(self) -> None:
         """Restores the state machine and starts the replica.
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/formation.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/formation.py
@@ -98,7 +98,7 @@
         """Changes the membership of the log, while this process is the leader, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-            if not self._logs.leads(loghost.CONTROL):
+            if not self._logs.tasks[loghost.CONTROL].accepts_member_changes:
                 continue
             change = self._next_change()
             if change is None:
