Learn the load that a runner carries from the share of late answers

Cause: the runner plan counted 56,000 prompt tokens and 5,000 output tokens a second for each runner, which are one customer's engine. It also asked zones without runners for their share instead of the others, and cut the reclaimable runners to the counted number in one step.

Change: entries report the streams that finished and those that were late. A module of the kernel lowers the load per runner when more than 8% are late at a settled number of runners, within bounds, forgets slowly, and is handed to the next holder of the duties. The share of zones that offer no reclaimable runners goes to the other zones. Reclaimable runners are released in steps of a tenth, 6 s apart, none while answers are late. On-demand runners go to cheaper zones first.

Ruled out: a lower fixed utilisation, which would order runners for engines that need none.

Golden encodings: three fields are added, none is renamed or removed.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
@@ -190,6 +190,8 @@
                     ready=sum(each.state is upstreams.State.READY for each in service_upstreams),
                     prompt_tokens=round(rates.prompt_tokens),
                     output_tokens=round(rates.output_tokens),
+                    late_fraction=round(rates.late_fraction, 3),
+                    load_per_runner=round(plan.load_per_runner, 3),
                 )
                 plan.record_outcome(order, outcome is ports.CloudOutcome.DONE, now)
                 if outcome is ports.CloudOutcome.FAILED:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -27,6 +27,15 @@
 SILENCE_GAP_FACTOR = 2.0
 MIN_SILENCE_SECONDS = 1.6
 
+# Outcomes of streams that were not served within their objectives for lack of capacity.
+_UNSERVED_OUTCOMES = frozenset(
+    [
+        ports.RefusalReason.OVERLOADED.value,
+        ports.RefusalReason.NO_UPSTREAM.value,
+        ports.RefusalReason.TIMED_OUT.value,
+        "broken_by_timeout",
+    ]
+)
 _RECEIVE_REASONS = {
     http_errors.BodyTooLargeError: ports.RefusalReason.BODY_TOO_LARGE,
     http_errors.HeadersTooLargeError: ports.RefusalReason.HEADERS_TOO_LARGE,
@@ -288,6 +297,15 @@
         state.usage_counted = True
         self._usage.record_start(state.organisation.name, self._wall_clock.now())
 
+    def _count_outcome(self, state: requeststate.RequestState, outcome: str) -> None:
+        """Counts a stream that ended or was refused for lack of capacity, and whether in time."""
+        if state.prompt is None or state.route.kind is not document.RequestKind.STREAM:
+            return
+        unserved = outcome in _UNSERVED_OUTCOMES
+        if unserved or outcome == "answered":
+            late = unserved or state.missed_objective
+            self._meter(state.service).count(finished=1, late=float(late))
+
     def _finish(
         self,
         caller_request: ports.CallerRequest | None,
@@ -302,6 +320,7 @@
             "id": caller_request.id if caller_request is not None else None
         }
         if state is not None:
+            self._count_outcome(state, outcome)
             if not state.may_have_run:
                 self._admission.refund(state)
             elif state.prompt is None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -83,6 +83,17 @@
             return min(9, 3 * self.route.priority)
         return min(9, 3 * min(own, 2) + min(self.route.priority, 2))
 
+    @property
+    def missed_objective(self) -> bool:
+        """Whether the first event of the answer, or a later one, missed the route's objective."""
+        first_event_at = self.arrived_at if self.first_event_at is None else self.first_event_at
+        start_limit = self.route.goal_seconds or float("inf")
+        pause_limit = self.route.gap_seconds or float("inf")
+        return (
+            first_event_at - self.arrived_at > start_limit
+            or self.longest_pause_seconds > pause_limit
+        )
+
     def record_event_written(self, now: float) -> None:
         """Records that events were written to the caller at event loop time `now`."""
         if self.last_event_at is not None:
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/demandmeter.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/demandmeter.py
@@ -25,12 +25,23 @@
         Tokens generated or expected.
     refused : float
         Requests that were refused after they had been admitted.
+    finished : float
+        Streams that ended or were refused for lack of capacity.
+    late : float
+        Those of `finished` that missed an objective, the refused ones included.
     """
 
     requests: float = 0.0
     prompt_tokens: float = 0.0
     output_tokens: float = 0.0
     refused: float = 0.0
+    finished: float = 0.0
+    late: float = 0.0
+
+    @property
+    def late_fraction(self) -> float:
+        """Fraction of the finished streams that were late; 0 if none has finished."""
+        return self.late / self.finished if self.finished > 0 else 0.0
 
     def __add__(self, other: "DemandRates") -> "DemandRates":
         return DemandRates(
@@ -38,6 +49,8 @@
             self.prompt_tokens + other.prompt_tokens,
             self.output_tokens + other.output_tokens,
             self.refused + other.refused,
+            self.finished + other.finished,
+            self.late + other.late,
         )
 
 
@@ -47,15 +60,9 @@
     def __init__(self) -> None:
         self._rates = self._counts = DemandRates()
 
-    def count(
-        self,
-        requests: float = 0.0,
-        prompt_tokens: float = 0.0,
-        output_tokens: float = 0.0,
-        refused: float = 0.0,
-    ) -> None:
-        """Adds to the counts since the last call of `update`."""
-        self._counts += DemandRates(requests, prompt_tokens, output_tokens, refused)
+    def count(self, **counts: float) -> None:
+        """Adds to the counts since the last call of `update`; names are those of the rates."""
+        self._counts += DemandRates(**counts)
 
     def update(self, seconds: float) -> DemandRates:
         """Updates the rates with the counts of the last `seconds` and returns them."""
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -2,8 +2,9 @@
 
 Reclaimable runners cost a fraction of the price of on-demand ones, but the cloud may reclaim all
 those of a zone at once. The plan spreads reclaimable runners over the zones so that the rest meets
-the demand when one zone loses its own. On-demand runners only substitute for reclaimable ones that
-are not available.
+the demand when one zone loses its own. While a zone has none to offer, the other zones get its
+share. On-demand runners only substitute for reclaimable ones that are not available. Runners are
+released one by one, and only while answers meet their objectives.
 """
 
 import collections
@@ -11,18 +12,17 @@
 import math
 from collections.abc import Collection
 
-from coltsfoothead.kernel.traffic import demandmeter, document, upstreams
+from coltsfoothead.kernel.traffic import demandmeter, document, runnercapacity, upstreams
 
-__all__ = ["Order", "PlanState", "RunnerPlan", "required_runners"]
+__all__ = ["Order", "PlanState", "RunnerPlan", "busy_runners", "required_runners"]
 
 # Rates at which one runner prefills prompts beside the requests that it serves, and decodes about
 # thirty requests at once; by the step times of the platform's specification.
 PREFILL_TOKENS_PER_SECOND = 56_000.0
 DECODE_TOKENS_PER_SECOND = 5_000.0
-# Utilisation of the runners up to which prompts need not wait for each other.
-TARGET_UTILISATION = 0.5
-# Utilisation that is accepted while reclaimable runners are not available.
-STRAINED_UTILISATION = 0.6
+# Load per runner that is accepted while reclaimable runners are not available, as a multiple of the
+# one that runners carry within the objectives.
+STRAINED_LOAD_FACTOR = 1.2
 # Fraction of the runners required at that utilisation that has to survive the next loss of a zone's
 # reclaimable runners. Losses follow each other within seconds, and a runner takes seconds to start.
 SURVIVING_FRACTION = 0.75
@@ -43,6 +43,10 @@
 RETRY_SECONDS = 2.0
 # On-demand runners are released after there have been too many of them for this time.
 RELEASE_DELAY_SECONDS = 5.0
+# Interval at which reclaimable runners are released while there are too many, and the fraction
+# that is released at once. The effect of one step shows in the latencies before the next one.
+RECLAIMABLE_RELEASE_INTERVAL_SECONDS = 6.0
+RECLAIMABLE_RELEASE_FRACTION = 0.1
 # Number of zones that may lose their reclaimable runners while the rest still meets the demand.
 TOLERATED_ZONE_LOSSES = 1
 
@@ -89,6 +93,8 @@
         Number of initial runners, which were there before the first demand.
     known_seconds : float or None
         Time since the first demand; None before it.
+    load_per_runner : float
+        Load that one runner carries within the objectives.
     """
 
     given: tuple[IssuedOrder, ...]
@@ -96,6 +102,7 @@
     dear_peak: demandmeter.DemandRates
     present: int
     known_seconds: float | None
+    load_per_runner: float = runnercapacity.INITIAL_LOAD_PER_RUNNER
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,11 +112,15 @@
     accepted: bool
 
 
-def required_runners(demand: demandmeter.DemandRates, utilisation: float) -> int:
-    """Returns the number of runners that a demand uses to the fraction `utilisation`."""
-    busy_runners = demand.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-    busy_runners += demand.output_tokens / DECODE_TOKENS_PER_SECOND
-    return math.ceil(busy_runners / utilisation)
+def busy_runners(demand: demandmeter.DemandRates) -> float:
+    """Returns the number of runners that a demand keeps busy at their nominal rates."""
+    prefilling = demand.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+    return prefilling + demand.output_tokens / DECODE_TOKENS_PER_SECOND
+
+
+def required_runners(demand: demandmeter.DemandRates, load_per_runner: float) -> int:
+    """Returns the number of runners among which each gets at most `load_per_runner`."""
+    return math.ceil(busy_runners(demand) / load_per_runner)
 
 
 class RunnerPlan:
@@ -134,6 +145,8 @@
         # By zone and whether the runners are reclaimable.
         self._last_orders: dict[tuple[str, bool], _LastOrder] = {}
         self._surplus_since: float | None = None
+        self._reclaimable_surplus_since: float | None = None
+        self._capacity = runnercapacity.RunnerCapacity()
         self._peak = self._on_demand_peak = demandmeter.DemandRates()
         self._peaks_updated_at: float | None = None
         self._planning_since: float | None = None
@@ -148,6 +161,11 @@
         """The service at the time when the plan was created."""
         return self._service
 
+    @property
+    def load_per_runner(self) -> float:
+        """Load that one runner carries within the objectives, as learned so far."""
+        return self._capacity.load_per_runner
+
     def state(self, now: float) -> PlanState:
         """Returns the state from which another process can continue the plan."""
         return PlanState(
@@ -161,6 +179,7 @@
             self._on_demand_peak,
             self._initial_runners,
             now - self._demand_since if self._demand_since is not None else None,
+            self._capacity.load_per_runner,
         )
 
     def _restore(self, state: PlanState, now: float) -> None:
@@ -172,6 +191,7 @@
         self._peak, self._on_demand_peak = state.peak, state.dear_peak
         self._peaks_updated_at = now
         self._initial_runners = state.present
+        self._capacity = runnercapacity.RunnerCapacity(state.load_per_runner)
         if state.known_seconds is not None:
             self._demand_since = now - state.known_seconds
         self._planning_since = now - DISCOVERY_SECONDS
@@ -204,6 +224,7 @@
             self._initial_runners = max(self._initial_runners, on_demand_runners)
         elif self._demand_since is None:
             self._demand_since = now
+        self._capacity.update(busy_runners(demand), len(ready), demand, now)
         wanted_reclaimable = self._wanted_reclaimable(now)
         wanted_on_demand = self._wanted_on_demand(
             wanted_reclaimable, ready_reclaimable, ready_on_demand, now
@@ -235,13 +256,47 @@
 
     def _wanted_reclaimable(self, now: float) -> dict[str, int]:
         """Returns the wanted number of reclaimable runners by zone."""
-        surviving_zones = max(1, len(self._zones) - TOLERATED_ZONE_LOSSES)
-        required = max(required_runners(self._peak, TARGET_UTILISATION), MIN_RUNNERS)
-        per_zone = math.ceil(required / surviving_zones)
+        required = max(required_runners(self._peak, self._capacity.load_per_runner), MIN_RUNNERS)
         if self._demand_since is None or now - self._demand_since < LEARNING_SECONDS:
-            per_zone = max(per_zone, math.ceil(self._initial_runners / len(self._zones)))
-        per_zone = min(self._scaling.maximum, per_zone)
-        return dict.fromkeys(self._zones, per_zone)
+            share = self._initial_runners / len(self._zones)
+            required = max(required, math.ceil(share) * (len(self._zones) - TOLERATED_ZONE_LOSSES))
+        offering = [zone for zone in self._zones if self._offers_reclaimable(zone)]
+        per_zone = self._reclaimable_per_zone(required, len(self._zones))
+        per_offering_zone = self._reclaimable_per_zone(required, len(offering))
+        targets = {
+            zone: per_offering_zone if zone in offering else per_zone for zone in self._zones
+        }
+        return self._released_stepwise(targets, now)
+
+    def _reclaimable_per_zone(self, required: int, zone_count: int) -> int:
+        """Returns the runners of each of some zones that together outlast the loss of one zone."""
+        surviving_zones = max(1, zone_count - TOLERATED_ZONE_LOSSES)
+        return min(self._scaling.maximum, math.ceil(required / surviving_zones))
+
+    def _offers_reclaimable(self, zone: str) -> bool:
+        """Returns whether the cloud did not refuse the last order in a zone."""
+        last = self._last_orders.get((zone, True))
+        return last is None or last.accepted
+
+    def _released_stepwise(self, targets: dict[str, int], now: float) -> dict[str, int]:
+        """Returns the reclaimable runners that each zone keeps on the way to lower numbers."""
+        kept = {}
+        for zone, target in targets.items():
+            last = self._last_orders.get((zone, True))
+            kept[zone] = max(target, last.count if last is not None and last.accepted else 0)
+        surplus = sum(kept.values()) - sum(targets.values())
+        if not surplus or self._capacity.answers_late:
+            self._reclaimable_surplus_since = None
+            return kept
+        if self._reclaimable_surplus_since is None:
+            self._reclaimable_surplus_since = now
+        if now - self._reclaimable_surplus_since < RECLAIMABLE_RELEASE_INTERVAL_SECONDS:
+            return kept
+        self._reclaimable_surplus_since = now
+        step = max(1, int(RECLAIMABLE_RELEASE_FRACTION * sum(kept.values())))
+        for _ in range(min(surplus, step)):
+            kept[max(kept, key=lambda zone: kept[zone] - targets[zone])] -= 1
+        return kept
 
     def _wanted_on_demand(
         self,
@@ -262,7 +317,8 @@
         for (zone, reclaimable), last in self._last_orders.items():
             if not reclaimable and zone in counts:
                 counts[zone] = last.count
-        required = required_runners(self._on_demand_peak, STRAINED_UTILISATION)
+        accepted_load = STRAINED_LOAD_FACTOR * self._capacity.load_per_runner
+        required = required_runners(self._on_demand_peak, accepted_load)
         if any(
             not last.accepted for (_, reclaimable), last in self._last_orders.items() if reclaimable
         ):
@@ -288,7 +344,7 @@
     def _add_runners(
         self, counts: dict[str, int], ready_reclaimable: collections.Counter[str], added: int
     ) -> dict[str, int]:
-        """Adds runners in the zones with the fewest, up to the maximum of each zone."""
+        """Adds runners up to the maximum of each zone, evenly but more in cheaper zones."""
         for _ in range(added):
             open_zones = [
                 zone
@@ -297,7 +353,13 @@
             ]
             if not open_zones:
                 break
-            counts[min(open_zones, key=lambda zone: ready_reclaimable[zone] + counts[zone])] += 1
+            prices = self._scaling.zone_prices
+            counts[
+                min(
+                    open_zones,
+                    key=lambda zone: prices[zone] * (ready_reclaimable[zone] + counts[zone] + 1),
+                )
+            ] += 1
         return counts
 
     def _remove_runners(self, counts: dict[str, int], removed: int) -> dict[str, int]:
--- a/packages/kernel/tests/test_runnerplan.py
+++ b/packages/kernel/tests/test_runnerplan.py
@@ -2,99 +2,17 @@
 
 import unittest
 
+import cloud_simulation
 import msgspec
 import traffic_builders as builders
 
-from coltsfoothead.kernel.traffic import demandmeter, runnerplan, upstreams
-
-STEP_SECONDS = 0.5
-# Time from an order to the first announcement of a runner: its boot time and one
-# announcement interval.
-START_SECONDS = 5.0
-
-
-class Cloud:
-    """Simulated cloud that starts and reclaims the runners of one service.
-
-    Attributes
-    ----------
-    unavailable_until : float
-        Time until which no reclaimable runners are available.
-    starting : list of tuple
-        Start time, zone and reclaimability of each runner that boots.
-    """
-
-    def __init__(self):
-        self.plan = runnerplan.RunnerPlan(builders.scaled_service())
-        self.now = 100.0
-        self.unavailable_until = 0.0
-        self.starting = []
-        self.runners = {}
-        self.started_count = 0
-        self.cost = 0.0
-
-    def count(self, zone=None, reclaimable=None):
-        """Returns the number of serving runners."""
-        return sum(
-            (zone is None or each.zone == zone)
-            and (reclaimable is None or each.reclaimable == reclaimable)
-            for each in self.runners.values()
-        )
-
-    def reclaim(self, zone, unavailable_seconds):
-        """Reclaims all reclaimable runners of a zone; no zone offers new ones for some time."""
-        self.unavailable_until = max(self.unavailable_until, self.now + unavailable_seconds)
-        for name in [name for name, each in self.runners.items() if each.zone == zone]:
-            if self.runners[name].reclaimable:
-                del self.runners[name]
-
-    def run(self, seconds, demand, least=None):
-        """Simulates some seconds; returns the lowest number of serving runners."""
-        fewest = self.count()
-        end = self.now + seconds
-        while self.now < end:
-            self.now += STEP_SECONDS
-            self._start_due()
-            for order in self.plan.due_orders(list(self.runners.values()), demand, self.now):
-                self._execute(order)
-            fewest = min(fewest, self.count())
-            self.cost += self.count(reclaimable=False) + 0.15 * self.count(reclaimable=True)
-        return fewest
-
-    def _execute(self, order):
-        if order.reclaimable and self.now < self.unavailable_until:
-            self.plan.record_outcome(order, False, self.now)
-            return
-        # The maximum of a zone applies to both kinds of runners together.
-        other_kind = not order.reclaimable
-        others = self.count(order.zone, other_kind)
-        others += sum(each[1:] == (order.zone, other_kind) for each in self.starting)
-        available = max(0, builders.scaled_service().scaling.maximum - others)
-        self.plan.record_outcome(order, True, self.now)
-        names = [
-            name
-            for name, each in self.runners.items()
-            if (each.zone, each.reclaimable) == (order.zone, order.reclaimable)
-        ]
-        wanted = min(order.count, available)
-        for name in names[order.count :]:
-            del self.runners[name]
-        waiting = [each for each in self.starting if each[1:] == (order.zone, order.reclaimable)]
-        for _ in range(wanted - len(names) - len(waiting)):
-            self.starting.append((self.now + START_SECONDS, order.zone, order.reclaimable))
-
-    def _start_due(self):
-        for each in [each for each in self.starting if each[0] <= self.now]:
-            self.starting.remove(each)
-            self.started_count += 1
-            name = f"i-{self.started_count}"
-            self.runners[name] = builders.upstream(name, each[1], reclaimable=each[2])
+from coltsfoothead.kernel.traffic import demandmeter, runnercapacity, runnerplan, upstreams
 
 
 class ReclaimTest(unittest.TestCase):
     def test_without_reclaims_all_runners_are_reclaimable(self):
         """Load pattern: steady demand, no reclaim; guards against paying the on-demand price."""
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(60, builders.demand(3))
         self.assertEqual(cloud.count(reclaimable=False), 0)
         self.assertGreaterEqual(cloud.count(), runnerplan.required_runners(builders.demand(3), 0.6))
@@ -104,7 +22,7 @@
 
         Guards against too few runners in the other zones.
         """
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(30, builders.demand(3))
         cloud.reclaim("a", unavailable_seconds=15)
         fewest = cloud.run(15, builders.demand(3))
@@ -115,7 +33,7 @@
 
         Guards against a loss of all capacity before on-demand runners have started.
         """
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(30, builders.demand(3))
         for zone in "abc":
             cloud.reclaim(zone, unavailable_seconds=15)
@@ -126,7 +44,7 @@
 
     def test_reclaimed_runners_are_ordered_again(self):
         """Guards against a plan that does not check whether the ordered runners are there."""
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(30, builders.demand(3))
         before = cloud.count(reclaimable=True)
         cloud.reclaim("b", unavailable_seconds=10)
@@ -136,7 +54,7 @@
 
     def test_a_new_plan_keeps_the_serving_runners(self):
         """Guards against a plan without state that releases runners after a loss of all zones."""
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(30, builders.demand(3))
         for zone in "abc":
             cloud.reclaim(zone, unavailable_seconds=60)
@@ -151,7 +69,7 @@
         Guards against a new leader that releases on-demand runners at peak demand; one released
         five.
         """
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(30, builders.demand(3))
         for zone in "ab":
             cloud.reclaim(zone, unavailable_seconds=60)
@@ -167,10 +85,12 @@
 
         Guards against target utilisations that only new runners would restore.
         """
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(30, builders.demand(3))
         most = max(cloud.count(zone, True) for zone in "abc")
-        needed = runnerplan.required_runners(builders.demand(3), runnerplan.TARGET_UTILISATION)
+        needed = runnerplan.required_runners(
+            builders.demand(3), runnercapacity.INITIAL_LOAD_PER_RUNNER
+        )
         self.assertGreaterEqual(cloud.count() - most, needed)
 
     def test_a_restored_plan_orders_without_delay(self):
@@ -179,7 +99,7 @@
         Guards against a new leader that orders no runner for five seconds while the reclaimable
         runners of two zones are lost.
         """
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(30, builders.demand(3))
         cloud.reclaim("a", unavailable_seconds=60)
         cloud.run(2, builders.demand(3))
@@ -192,7 +112,7 @@
 
     def test_the_state_survives_encoding_and_decoding(self):
         """Guards against a state that another process cannot decode or restore."""
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(10, builders.demand(3))
         state = cloud.plan.state(cloud.now)
         decoder = msgspec.msgpack.Decoder(runnerplan.PlanState)
@@ -202,9 +122,8 @@
 
     def test_initial_runners_are_replaced_one_for_one(self):
         """Load pattern: heavy demand from the start; guards against too few runners at first."""
-        cloud = Cloud()
-        for number, zone in enumerate("abcabcabc"):
-            cloud.runners[f"first-{number}"] = builders.upstream(f"first-{number}", zone)
+        cloud = cloud_simulation.Cloud()
+        cloud.add_initial_runners(9)
         cloud.run(10, demandmeter.DemandRates())
         self.assertEqual((cloud.count(), cloud.count(reclaimable=False)), (9, 0))
         cloud.run(5, builders.demand(1))
@@ -234,7 +153,7 @@
         Guards against on-demand runners that are never released: twelve of them reached the maximum
         of each zone, so that no reclaimable ones could start.
         """
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(30, builders.demand(6))
         for zone in "abc":
             cloud.reclaim(zone, unavailable_seconds=10)
@@ -248,7 +167,7 @@
 
     def test_runners_are_kept_after_a_peak(self):
         """Load pattern: waves of callers; guards against releasing what the next wave needs."""
-        cloud = Cloud()
+        cloud = cloud_simulation.Cloud()
         cloud.run(20, builders.demand(6))
         high = cloud.count()
         cloud.run(8, builders.demand(4))
