Copy KV cache only where the copy arrives sooner than the prefill ends

Cause: placement counted 15 ms for every copy of a shared prompt part, which holds for 18 kB a token. Requests waited 0.9 to 2 s for their first event at runners without waiting prompts, whatever their size, behind the copies of others.

Change: the time of a copy follows from the size of the cache, the rate of the link and the zones, and counts twice for the one it waits behind. A part is copied only if that is sooner than its prefill, else the runner reads it, and the score counts either. Parts of a few hundred tokens are never copied.

Ruled out: too few runners as the only cause; the late requests met runners with no request waiting.

Tests: test_overload, two new cases (a large cache is used where it is; short parts are never copied).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -100,7 +100,7 @@
             arrived_at,
             arrived_at + timeout_seconds - RESPONSE_MARGIN_SECONDS,
             _prompt_sizes(caller_request),
-            engine is not None and engine.can_copy_cache,
+            engine,
         )
         on_routed(state)
         await self._charge_quota(state)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -17,8 +17,8 @@
     ----------
     arrived_at, deadline : float
         Event loop times.
-    supports_kv_copy : bool
-        Whether upstreams can copy the KV cache of a shared prefix from each other.
+    engine : Engine or None
+        Engine of the service's model runners.
     charged_amount : float
         Amount charged to the organisation's quota.
     sent_count : int
@@ -50,7 +50,7 @@
     arrived_at: float
     deadline: float
     prompt: placement.Prompt | None = None
-    supports_kv_copy: bool = False
+    engine: document.Engine | None = None
     charged_amount: float = 0.0
     sent_count: int = 0
     excluded_upstreams: set[str] = dataclasses.field(default_factory=set)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -119,7 +119,7 @@
         state.excluded_upstreams.add(upstream.id)
         unread_tokens = 0
         if prompt is not None:
-            unread_tokens = prompt.own_tokens + prompt.missing_tokens(upstream.id)
+            unread_tokens = prompt.own_tokens + prompt.missing_tokens(upstream)
         tracked = self.loads.track(upstream.id, unread_tokens, state.prompt is not None)
         try:
             answer = await self._send(
@@ -236,19 +236,24 @@
         if prompt is None or not prompt.shared_key:
             return prompt
         holder_ages = self.loads.prefix_holders(prompt.shared_key, clock.steady())
-        ready = {each.id for each in self._directory.ready_upstreams(state.service)}
+        ready = {each.id: each for each in self._directory.ready_upstreams(state.service)}
         holders = {name: age for name, age in holder_ages.items() if name in ready}
-        return dataclasses.replace(prompt, holders=holders, can_copy=state.supports_kv_copy)
+        return dataclasses.replace(
+            prompt,
+            holders=holders,
+            holder_zones=frozenset(ready[name].zone for name in holders),
+            transfer_seconds=(
+                state.engine.transfer_seconds(prompt.shared_tokens) if state.engine else None
+            ),
+        )
 
     def _kv_source_address(
         self, prompt: placement.Prompt | None, chosen: upstreams.Upstream
     ) -> str | None:
         """Returns the address from which the chosen upstream should copy the shared prefix."""
-        if prompt is None or not prompt.can_copy or chosen.id in prompt.holders:
+        if prompt is None or prompt.copy_seconds(chosen) is None:
             return None
         holder_records = [self._directory.records[name] for name in prompt.holders]
-        if not holder_records:
-            return None
         best_source = min(
             holder_records, key=lambda each: (each.zone != chosen.zone, prompt.holders[each.id])
         )
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/document.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/document.py
@@ -99,10 +99,17 @@
     kv_token_bytes: int = 0
     link_bytes_per_second: float = 0.0
 
-    @property
-    def can_copy_cache(self) -> bool:
-        """Whether a runner can copy the KV cache of a prompt from another one."""
-        return self.kv_token_bytes > 0 and self.link_bytes_per_second > 0
+    def transfer_seconds(self, tokens: int) -> float | None:
+        """Returns the time in which a runner gets the KV cache of some tokens from another one.
+
+        Returns
+        -------
+        float or None
+            None if runners cannot copy KV cache.
+        """
+        if self.kv_token_bytes <= 0 or self.link_bytes_per_second <= 0:
+            return None
+        return tokens * self.kv_token_bytes / self.link_bytes_per_second
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
@@ -33,9 +33,12 @@
 PREFILL_TOKENS_PER_SECOND = 22_000.0
 # Prefill rate of an engine without waiting prompts.
 IDLE_PREFILL_TOKENS_PER_SECOND = 56_000.0
-# Time to copy the KV cache of a shared prompt part from another engine: the set-up takes 8 ms and
-# 5,000 tokens take 6 ms at the link rate of the platform's specification.
-CACHE_COPY_SECONDS = 0.015
+# Time to set up a copy of KV cache from another engine.
+COPY_SETUP_SECONDS = 0.008
+# A copy between zones takes longer than one within a zone.
+CROSS_ZONE_COPY_FACTOR = 2.0
+# Copies from or to one engine run one after another, so a copy is expected to wait for another one.
+COPY_QUEUE_FACTOR = 2.0
 # Delay that each running request adds to the start of another, by the step times of the
 # specification.
 DELAY_SECONDS_PER_REQUEST = 0.004
@@ -118,20 +121,40 @@
         Tokens of the shared parts and of the rest.
     holders : mapping of str to float
         IDs of the upstreams that used the shared part lately, with the seconds since then.
-    can_copy : bool
-        Whether other upstreams can copy the KV cache of the shared part from a holder.
+    holder_zones : frozenset of str
+        Zones of these upstreams.
+    transfer_seconds : float or None
+        Time in which the KV cache of the shared part is transferred within a zone; None if
+        upstreams cannot copy it from each other.
     """
 
     shared_key: str = ""
     shared_tokens: int = 0
     own_tokens: int = 0
     holders: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    can_copy: bool = False
+    holder_zones: frozenset[str] = frozenset()
+    transfer_seconds: float | None = None
+
+    def copy_seconds(self, upstream: upstreams.Upstream) -> float | None:
+        """Returns the time in which an upstream copies the shared part from a holder.
+
+        Returns
+        -------
+        float or None
+            None if the upstream holds the part, if no other one does, or if it prefills the part
+            sooner than a copy arrives.
+        """
+        if self.transfer_seconds is None or not self.holders or upstream.id in self.holders:
+            return None
+        factor = 1.0 if upstream.zone in self.holder_zones else CROSS_ZONE_COPY_FACTOR
+        seconds = COPY_QUEUE_FACTOR * (COPY_SETUP_SECONDS + factor * self.transfer_seconds)
+        return seconds if seconds < self.shared_tokens / IDLE_PREFILL_TOKENS_PER_SECOND else None
 
-    def missing_tokens(self, upstream_id: str) -> int:
+    def missing_tokens(self, upstream: upstreams.Upstream) -> int:
         """Returns the tokens of the shared part that an upstream has to prefill."""
-        copied = self.can_copy and len(self.holders) > 0
-        return 0 if copied or upstream_id in self.holders else self.shared_tokens
+        if upstream.id in self.holders or self.copy_seconds(upstream) is not None:
+            return 0
+        return self.shared_tokens
 
 
 class Policy(Protocol):
@@ -195,15 +218,14 @@
             utilisation = (load.running + load.waiting) / max(1, upstream.slots)
             return seconds + utilisation * FULL_SLOTS_SECONDS + rng.random() * 0.001
         seconds += expected_start_seconds(load)
-        uncached_tokens = prompt.own_tokens + prompt.missing_tokens(upstream.id)
+        missing_tokens = prompt.missing_tokens(upstream)
+        uncached_tokens = prompt.own_tokens + missing_tokens
         if load.waiting_tokens + uncached_tokens > MAX_WAITING_TOKENS:
             seconds += load.running * LATE_STREAM_SECONDS
         if prompt.holders:
-            if upstream.id in prompt.holders:
-                return seconds + rng.random() * 0.001
-            prefill_seconds = prompt.missing_tokens(upstream.id) / IDLE_PREFILL_TOKENS_PER_SECOND
-            return seconds + max(CACHE_COPY_SECONDS, prefill_seconds) + rng.random() * 0.001
-        if preferred.get(upstream.zone) != upstream.id:
+            seconds += prompt.copy_seconds(upstream) or 0.0
+            seconds += missing_tokens / IDLE_PREFILL_TOKENS_PER_SECOND
+        elif preferred.get(upstream.zone) != upstream.id:
             # Other entries without a known holder send the shared part to the preferred upstream.
             seconds += prompt.shared_tokens / IDLE_PREFILL_TOKENS_PER_SECOND
         return seconds + rng.random() * 0.001
--- a/packages/kernel/tests/test_overload.py
+++ b/packages/kernel/tests/test_overload.py
@@ -5,15 +5,29 @@
 
 import traffic_builders as builders
 
-from coltsfoothead.kernel.traffic import overload, placement
+from coltsfoothead.kernel.traffic import document, overload, placement
 
 PROMPT = placement.Prompt("part", 5_000, 6_000)
+SMALL_CACHE = document.Engine(48, 500_000, 5, 18_432, 130e9 / 8)
+LARGE_CACHE = document.Engine(48, 444_000, 5, 131_072, 180e9 / 8)
 
 
-def candidate(running=0, waiting=0, waiting_tokens=0, name="i-1"):
+def candidate(running=0, waiting=0, waiting_tokens=0, name="i-1", zone="a"):
     """Returns a candidate in the entry's zone with a load."""
     load = placement.Load(running, waiting, waiting_tokens)
-    return placement.Candidate(builders.upstream(name), load, 0)
+    return placement.Candidate(builders.upstream(name, zone), load, 0)
+
+
+def prompt(shared_tokens, own_tokens, engine):
+    """Returns a prompt whose shared part only the upstream ``i-1`` in zone ``a`` holds."""
+    return placement.Prompt(
+        "part",
+        shared_tokens,
+        own_tokens,
+        {"i-1": 2.0},
+        frozenset("a"),
+        engine.transfer_seconds(shared_tokens),
+    )
 
 
 def route(priority, goal_seconds=1.2):
@@ -85,10 +99,10 @@
         Guards against pauses of running streams while an engine prefills more than 40,000 tokens.
         They were 0.86 s long in 58 of 1,590 streams at light load.
         """
-        prompt = placement.Prompt(own_tokens=25_000)
+        long = placement.Prompt(own_tokens=25_000)
         busy = candidate(running=20, waiting=1, waiting_tokens=14_000, name="busy")
         calm = candidate(running=1, waiting=2, waiting_tokens=24_000, name="calm")
-        chosen = placement.ExpectedStart().choose([busy, calm], prompt, self.rng)
+        chosen = placement.ExpectedStart().choose([busy, calm], long, self.rng)
         self.assertEqual(chosen.upstream.id, "calm")
         short = placement.Prompt(own_tokens=1_000)
         chosen = placement.ExpectedStart().choose([busy, calm], short, self.rng)
@@ -125,15 +139,37 @@
 
         Guards against queueing at the holder although another upstream can copy its KV cache.
         """
-        held = placement.Prompt("part", 5_000, 1_000, {"i-1": 2.0}, can_copy=True)
+        held = prompt(5_000, 1_000, SMALL_CACHE)
         busy, free = candidate(9, 1, 2_000, "i-1"), candidate(2, 0, 0, "i-2")
         self.assertIs(self.policy.choose([busy, free], held, self.rng), free)
-        self.assertEqual(held.missing_tokens("i-2"), 0)
+        self.assertEqual(held.missing_tokens(free.upstream), 0)
         not_copied = placement.Prompt("part", 5_000, 1_000, {"i-1": 2.0})
         self.assertEqual(
-            (not_copied.missing_tokens("i-1"), not_copied.missing_tokens("i-2")), (0, 5_000)
+            [not_copied.missing_tokens(each.upstream) for each in (busy, free)], [0, 5_000]
         )
 
+    def test_a_large_cache_is_used_where_it_is(self):
+        """Load pattern: long shared parts with a KV cache of 131 kB per token, at light load.
+
+        Guards against copies that queue on the links of the upstreams for a second and more: each
+        takes nearly as long as prefilling the part.
+        """
+        held = prompt(13_300, 3_700, LARGE_CACHE)
+        holder, other = candidate(6, 1, 1_500, "i-1"), candidate(3, 0, 0, "i-2")
+        self.assertIs(self.policy.choose([holder, other], held, self.rng), holder)
+        away = candidate(3, 0, 0, "i-3", zone="b")
+        self.assertIsNone(held.copy_seconds(away.upstream))
+        self.assertEqual(held.missing_tokens(away.upstream), 13_300)
+
+    def test_short_parts_are_never_copied(self):
+        """Load pattern: short prompts beside long ones.
+
+        Guards against short prompts that wait for the copies of long ones.
+        """
+        other = candidate(name="i-2")
+        for engine, tokens in ((SMALL_CACHE, 200), (LARGE_CACHE, 350)):
+            self.assertIsNone(prompt(tokens, 600, engine).copy_seconds(other.upstream))
+
     def test_a_failing_upstream_is_avoided(self):
         """Load pattern: one runner fails its requests while it announces itself as ready.
 
