Weigh the pauses that a prompt causes by their probability and the route

Cause: a prompt counted as harmless to the streams of a runner until 38,000 tokens waited there, which is the limit for pauses of 0.8 s at full speed.

Change: the limit follows from the pause that the route allows, and the penalty grows with the square of the share of it that the waiting tokens take. Another region counts 0.15 s.

Ruled out: more runners alone; the runners of the other region were nearly idle.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -233,8 +233,8 @@
     def _prompt_with_holders(self, state: requeststate.RequestState) -> placement.Prompt | None:
         """Returns the prompt with the upstreams that hold its shared prefix in their KV caches."""
         prompt = state.prompt
-        if prompt is None or not prompt.shared_key:
-            return prompt
+        if prompt is None:
+            return None
         holder_ages = self.loads.prefix_holders(prompt.shared_key, clock.steady())
         ready = {each.id: each for each in self._directory.ready_upstreams(state.service)}
         holders = {name: age for name, age in holder_ages.items() if name in ready}
@@ -245,6 +245,7 @@
             transfer_seconds=(
                 state.engine.transfer_seconds(prompt.shared_tokens) if state.engine else None
             ),
+            pause_seconds=state.route.gap_seconds or placement.DEFAULT_PAUSE_SECONDS,
         )
 
     def _kv_source_address(
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
@@ -42,10 +42,10 @@
 # Delay that each running request adds to the start of another, by the step times of the
 # specification.
 DELAY_SECONDS_PER_REQUEST = 0.004
-# Waiting prompt tokens beyond which the running streams of an engine are late. Each step that
-# generates an event also prefills a chunk of the waiting prompts; 45,000 tokens take 0.8 s, the
-# longest pause that the specification allows.
-MAX_WAITING_TOKENS = 38_000
+# Waiting prompt tokens per second of the longest pause allowed, beyond which the running streams
+# of an engine are late. Each step that generates an event also prefills a chunk of these prompts.
+MAX_WAITING_TOKENS_PER_SECOND = 47_500
+DEFAULT_PAUSE_SECONDS = 0.8
 # Penalty per running stream whose next event would be late.
 LATE_STREAM_SECONDS = 0.04
 # Delay of a new request to a plain service whose slots are all in use.
@@ -53,7 +53,7 @@
 # Penalties for another zone and another region: the extra delay that is accepted to avoid the
 # traffic between them.
 CROSS_ZONE_SECONDS = 0.06
-CROSS_REGION_SECONDS = 0.35
+CROSS_REGION_SECONDS = 0.15
 # Penalty per recent failure of an upstream.
 FAILURE_SECONDS = 0.5
 
@@ -126,6 +126,8 @@
     transfer_seconds : float or None
         Time in which the KV cache of the shared part is transferred within a zone; None if
         upstreams cannot copy it from each other.
+    pause_seconds : float
+        Longest pause allowed between two events of a stream.
     """
 
     shared_key: str = ""
@@ -134,6 +136,15 @@
     holders: Mapping[str, float] = dataclasses.field(default_factory=dict)
     holder_zones: frozenset[str] = frozenset()
     transfer_seconds: float | None = None
+    pause_seconds: float = DEFAULT_PAUSE_SECONDS
+
+    def late_probability(self, waiting_tokens: int) -> float:
+        """Returns the probability that this many waiting tokens make a running stream late.
+
+        It grows with the square of the tokens, since engines are slower than usual at times.
+        """
+        share = waiting_tokens / (MAX_WAITING_TOKENS_PER_SECOND * self.pause_seconds)
+        return min(1.0, share) ** 2
 
     def copy_seconds(self, upstream: upstreams.Upstream) -> float | None:
         """Returns the time in which an upstream copies the shared part from a holder.
@@ -220,8 +231,8 @@
         seconds += expected_start_seconds(load)
         missing_tokens = prompt.missing_tokens(upstream)
         uncached_tokens = prompt.own_tokens + missing_tokens
-        if load.waiting_tokens + uncached_tokens > MAX_WAITING_TOKENS:
-            seconds += load.running * LATE_STREAM_SECONDS
+        late = prompt.late_probability(load.waiting_tokens + uncached_tokens)
+        seconds += load.running * late * LATE_STREAM_SECONDS
         if prompt.holders:
             seconds += prompt.copy_seconds(upstream) or 0.0
             seconds += missing_tokens / IDLE_PREFILL_TOKENS_PER_SECOND
--- a/packages/kernel/tests/test_overload.py
+++ b/packages/kernel/tests/test_overload.py
@@ -108,6 +108,28 @@
         chosen = placement.ExpectedStart().choose([busy, calm], short, self.rng)
         self.assertEqual(chosen.upstream.id, "busy")
 
+    def test_shorter_pauses_keep_long_prompts_from_streams(self):
+        """Load pattern: long prompts beside many short streams that allow pauses of 0.5 s only.
+
+        Guards against one limit for all routes: a prompt of 17,000 tokens, or two, made most
+        streams of an engine late, in phases in which it works at less than half of its speed.
+        """
+        busy = candidate(running=12, name="busy")
+        calm = candidate(running=1, waiting=1, waiting_tokens=4_000, name="calm")
+        for pause_seconds, expected in ((0.5, "calm"), (2.0, "busy")):
+            long = placement.Prompt(own_tokens=17_000, pause_seconds=pause_seconds)
+            chosen = self.policy.choose([busy, calm], long, self.rng)
+            self.assertEqual(chosen.upstream.id, expected)
+
+    def test_streams_of_a_full_region_go_to_the_other(self):
+        """Load pattern: one region keeps one runner while its zones are reclaimed.
+
+        Guards against 14 streams at one runner beside two nearly idle ones in the other region.
+        """
+        near = placement.Candidate(builders.upstream("i-1"), placement.Load(14, 2, 4_000), 0)
+        far = placement.Candidate(builders.upstream("i-2", "b"), placement.Load(2), 2)
+        self.assertIs(self.policy.choose([near, far], PROMPT, self.rng), far)
+
     def test_a_hot_key_spreads_once_its_upstream_is_loaded(self):
         """Load pattern: much of the traffic shares one prompt part; guards against a hot spot."""
         held = placement.Prompt("hot", 5_000, 1_000, {"i-1": 2.0})
