Answer requests that have arrived but are not read yet when a server stops

Cause: a planned stop closed each connection that its task counted as idle. On a busy event loop a task runs some time after the data of its connection arrived, so that a complete request was cut off without an answer. Connections that the system had accepted, but the loop had not, were reset when the listening socket closed.

Change: a connection with unread data is not idle, and the loop accepts what is pending before and after the listening socket closes.

Ruled out: requests of running exchanges; they were waited for before.

Run: test_http_server, two new cases that failed before (an empty answer, ECONNRESET); 16 run, 0 failed.

--- a/packages/daemon/src/coltsfoothead/daemon/http/server.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/server.py
@@ -60,6 +60,13 @@
         super().__init__(reader, accept)
         self.on_disconnect: Callable[[], object] | None = None
         self.disconnected = False
+        # Whether data has arrived that the connection's task has not read yet.
+        self.has_unread_data = False
+
+    def data_received(self, data: bytes) -> None:
+        """Buffers received data for the connection's task."""
+        self.has_unread_data = True
+        super().data_received(data)
 
     def eof_received(self) -> bool | None:
         """Reports that the caller has closed its sending side."""
@@ -301,7 +308,10 @@
     def close_idle(self) -> None:
         """Closes the connections without a request in progress."""
         for writer in list(self._idle):
-            writer.close()
+            # On a busy event loop, the task of a connection runs some time after its data arrived.
+            protocol = writer.transport.get_protocol()
+            if protocol is None or not protocol.has_unread_data:
+                writer.close()
 
     async def stop(self, grace_seconds: float) -> None:
         """Stops listening, waits for running exchanges, then closes the remaining connections.
@@ -315,7 +325,10 @@
             Longest time to wait for running exchanges.
         """
         if self._server is not None:
+            # Connections that the system has accepted already would be reset.
+            await _let_loop_accept()
             self._server.close()
+            await _let_loop_accept()
         if self._connections:
             await asyncio.sleep(min(STOP_LINGER_SECONDS, grace_seconds))
         self._stopping = True
@@ -369,6 +382,8 @@
         loop = asyncio.get_running_loop()
         head: h11.Request | None = None
         body = bytearray()
+        # None if the connection is closed already.
+        protocol = writer.transport.get_protocol()
         deadline = loop.time() + self._bounds.idle_seconds
         started = False
         while True:
@@ -394,6 +409,8 @@
                     return None
                 case _:
                     data = await self._read(reader, deadline, started)
+                    if protocol is not None:
+                        protocol.has_unread_data = False
                     if data and not started:
                         started = True
                         self._idle.discard(writer)
@@ -457,6 +474,12 @@
             await asyncio.wait_for(_discard_input(reader), MAX_DISCARD_SECONDS)
 
 
+async def _let_loop_accept() -> None:
+    """Lets the event loop accept pending connections and start the tasks of accepted ones."""
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
 async def _discard_input(reader: asyncio.StreamReader) -> None:
     while await reader.read(READ_BYTES):
         pass
--- a/packages/daemon/tests/test_http_server.py
+++ b/packages/daemon/tests/test_http_server.py
@@ -1,7 +1,9 @@
 """Tests of the HTTP server against misbehaving callers, and of the HTTP client."""
 
 import asyncio
+import socket
 import unittest
+import unittest.mock
 
 import builders
 import msgspec
@@ -207,6 +209,54 @@
 
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def connect(self, stopping):
+        """Starts a server and returns a blocking socket that is connected to it."""
+        host, port = (await stopping.start("127.0.0.1", 0)).split(":")
+        connected = socket.create_connection((host, int(port)))
+        self.addCleanup(connected.close)
+        connected.settimeout(10)
+        return connected
+
+    async def test_a_request_that_has_arrived_unread_is_answered(self):
+        """Guards against closing a connection as idle whose request no task has read yet.
+
+        On a busy event loop, the task of a connection runs some time after its data arrived.
+        """
+        stopping = server.Server(echo, frontend.encode_error, builders.bounds())
+        connected = await self.connect(stopping)
+        while not stopping.connections:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.05)
+        connected.sendall(COMPLETE_REQUEST)
+        closed = False
+
+        def close_idle_before_the_task_runs():
+            nonlocal closed
+            closed = True
+            stopping.close_idle()
+
+        original = server._CallerProtocol.data_received
+
+        def data_received(protocol, data):
+            original(protocol, data)
+            close_idle_before_the_task_runs()
+
+        with unittest.mock.patch.object(server._CallerProtocol, "data_received", data_received):
+            received = await asyncio.to_thread(connected.recv, 65536)
+        self.assertTrue(closed)
+        self.assertTrue(received.endswith(b"hi"), received)
+        await stopping.stop(1.0)
+
+    async def test_a_connection_that_waits_to_be_accepted_is_served_by_a_stopping_server(self):
+        """Guards against resetting a caller whose connection waits to be accepted."""
+        stopping = server.Server(echo, frontend.encode_error, builders.bounds())
+        connected = await self.connect(stopping)
+        connected.sendall(COMPLETE_REQUEST)
+        self.assertEqual(stopping.connections, 0)
+        await stopping.stop(1.0)
+        received = await asyncio.to_thread(connected.recv, 65536)
+        self.assertTrue(received.endswith(b"hi"), received)
+
     async def test_a_request_in_transit_is_answered_while_the_server_stops(self):
         """Guards against resetting a caller that connected just before a graceful stop."""
         stopping = server.Server(echo, frontend.encode_error, builders.bounds())
