Bound what troubled runners, suspensions and unforeseen errors can do

Causes, each shown by a test that failed on the code before: - An answer without a request ID on a connection that was used before was taken for the answer to the next request: a late "503, not run" made an order that ran end with 503. - A resumable stream was given up after a silence of 1.6 s even where no attempt was left to resume it, so that a slow but sound stream was cut. - Any byte counted as a sign of life, also half an event or a comment: a stalled stream that sent a byte now and then lasted until its deadline. - Heads that drip, informational responses, answers to other requests and events without end lasted until the deadline, and the last were passed on without a limit. - A cloud call was decided under a valid lease and sent, after a suspension, when it had ended. - An unforeseen error in one request left its caller without an answer, and one in background work ended the process.

Changes: such an answer ends the connection with an unknown outcome. A silent stream is given up only if another runner can resume it, and complete events alone are progress. The lease is checked once more when the connection stands, before the first byte. Unforeseen errors are logged with a trace; the request is refused (503 only if it was not sent), the work starts again after 0.5 s.

Ruled out: a shorter deadline, which would cut sound answers.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -1,8 +1,10 @@
 """The control role: replicates the routing document, the upstream directory and the duties."""
 
 import asyncio
+import functools
 import pathlib
 import random
+from collections.abc import Awaitable, Callable
 
 from coltsfoothead.coordination import (
     configuration,
@@ -20,6 +22,7 @@
 from coltsfoothead.daemon import settings as daemon_settings
 from coltsfoothead.daemon.control import leases, loghost, proposer
 from coltsfoothead.daemon.gateway import (
+    background,
     clock,
     controlapi,
     directory,
@@ -288,19 +291,24 @@
             self._events,
             self._metrics,
         )
-        work = [
-            leader_sync.run(lambda: not self._logs.leads(loghost.CONTROL)),
-            self._terms.run(),
-            self._formation.send_join_requests(),
-            self._formation.manage_voters(),
-            self._maintain_peers(),
-            leases.expire_leases(self._logs, self._proposer, clock.steady),
-        ]
+        follows = functools.partial(leader_sync.run, lambda: not self._logs.leads(loghost.CONTROL))
+        expiry = functools.partial(leases.expire_leases, self._logs, self._proposer, clock.steady)
+        work = {
+            "leader_sync": follows,
+            "terms": self._terms.run,
+            "join": self._formation.send_join_requests,
+            "voters": self._formation.manage_voters,
+            "peers": self._maintain_peers,
+            "lease_expiry": expiry,
+        }
         if self._settings.cloud is not None:
-            work += self._duties(self._settings.cloud)
-        self._tasks += [asyncio.create_task(each) for each in work]
+            work |= self._duties(self._settings.cloud)
+        self._tasks += [
+            asyncio.create_task(background.keep_running(name, each, self._events))
+            for name, each in work.items()
+        ]
 
-    def _duties(self, cloud: settings.Cloud) -> list[object]:
+    def _duties(self, cloud: settings.Cloud) -> dict[str, Callable[[], Awaitable[None]]]:
         duties_lease = leases.ManagedLease(
             DUTIES_LEASE,
             self._identity.replica,
@@ -326,7 +334,7 @@
             self._events,
             self._metrics,
         )
-        return [duties_lease.run(), cloud_duties.run()]
+        return {"duties_lease": duties_lease.run, "duties": cloud_duties.run}
 
     async def _maintain_peers(self) -> None:
         """Updates the peers and the leader's address from the members of the log."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from coltsfoothead.coordination import writeonce
+from coltsfoothead.daemon import errors
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon.control import leases, loghost, proposer
 from coltsfoothead.daemon.gateway import clock, eventlog, leadership, planstore, ports
@@ -25,10 +26,15 @@
 USAGE_SETTLE_SECONDS = 2.5
 # Pause after a failed call, so that an unavailable cloud API is not flooded with calls.
 RETRY_DELAY_SECONDS = 0.7
+MAX_ANSWER_BYTES = 64 * 1024
 # Interval at which runners are planned; a new runner takes seconds until it serves.
 PLAN_INTERVAL_SECONDS = 0.5
 
 
+class LeaseEndedError(errors.DaemonError):
+    """The lease on the duties ended before a call was sent."""
+
+
 class CloudDuties:
     """Performs the duties while this process is the leader and holds the lease on them.
 
@@ -110,6 +116,14 @@
     def _lease_allows_call(self) -> bool:
         return self._lease.remaining() > CALL_TIMEOUT_SECONDS + LEASE_MARGIN_SECONDS
 
+    def _check_lease(self) -> None:
+        """Raises `LeaseEndedError` if a call that is sent now could arrive after the lease.
+
+        The process may have been suspended since the call was decided.
+        """
+        if self._lease.remaining() <= LEASE_MARGIN_SECONDS or self._lease.fence != self._fence:
+            raise LeaseEndedError("the lease ended before the call was sent")
+
     async def _report_usage(
         self, term: leadership.Leadership, routing: document.RoutingDocument
     ) -> bool:
@@ -202,9 +216,11 @@
         request = self._dialect.encode(call, self._holder_id, self._fence)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-                answer = await self._client.send(self._address, request, None)
-                await answer.read(None, 64 * 1024)
-        except (http_errors.HttpError, TimeoutError) as error:
+                answer = await self._client.send(
+                    self._address, request, None, before_send=self._check_lease
+                )
+                await answer.read(None, MAX_ANSWER_BYTES)
+        except (http_errors.HttpError, LeaseEndedError, TimeoutError) as error:
             self._events.warn("cloud_unreachable", order=type(call).__name__, cause=str(error))
             self._metrics.count("cloud_calls_failed")
             return ports.CloudOutcome.FAILED
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -13,6 +13,7 @@
 from coltsfoothead.daemon.gateway import (
     admission,
     allowances,
+    background,
     clock,
     directory,
     documentcopy,
@@ -150,7 +151,11 @@
             await self._start_server(
                 metrics, f"{self._settings.process.address}:{listen.metrics_port}"
             )
-        self._tasks.append(asyncio.create_task(self._leader_sync.run()))
+        self._tasks.append(
+            asyncio.create_task(
+                background.keep_running("leader_sync", self._leader_sync.run, self._events)
+            )
+        )
         self._events.write("started", role="entry", zone=self._settings.process.zone)
 
     def reload(self, configured: settings.Settings) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import traceback
+from collections.abc import Callable
 
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon.gateway import (
@@ -21,9 +23,9 @@
 __all__ = ["Forwarder"]
 
 # Largest response of a plain service; it is buffered before it is passed on.
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-# The attempt at an upstream is abandoned if its stream pauses for this multiple of the gap that the
-# route allows, and for at least this many seconds.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+# The attempt at an upstream is abandoned, if another one can resume its stream, once no complete
+# event has arrived for this multiple of the gap that the route allows and for this many seconds.
 SILENCE_GAP_FACTOR = 2.0
 MIN_SILENCE_SECONDS = 1.6
 
@@ -131,6 +133,11 @@
         except asyncio.CancelledError:
             outcome, cause = "caller_left", ""
             raise
+        except Exception as error:
+            # An error in one request must neither end the process nor leave the caller waiting.
+            cause = repr(error)
+            self._events.warn("request_failed", cause=cause, trace=traceback.format_exc(limit=-4))
+            await self._refuse(caller, caller_request, state, self._failure_refusal(state))
         finally:
             self._in_flight -= 1
             self._finish(caller_request, state, arrived_at, outcome, cause)
@@ -225,17 +232,18 @@
             if not caller.started:
                 caller.start_nowait(attempt.head.status, attempt.head.headers)
 
-        def relay_data(data: bytes) -> None:
+        def relay_data(data: bytes) -> bool:
             count_before = events.event_count
             events.feed(data, begin_response)
             if count_before == 0 and events.event_count:
                 attempt.tracked.mark_started()
-            if events.event_count > count_before:
+            progressed = events.event_count > count_before
+            if progressed:
                 state.record_event_written(asyncio.get_running_loop().time())
+            return progressed
 
-        silence = max(MIN_SILENCE_SECONDS, SILENCE_GAP_FACTOR * (state.route.gap_seconds or 0.0))
         try:
-            await attempt.answer.pump(relay_data, None if not state.route.resumable else silence)
+            await self._pump_events(attempt, relay_data, state)
         except (http_errors.UpstreamBrokeError, relay.MalformedStreamError) as error:
             raise failures.AttemptFailedError(str(error)) from error
         finally:
@@ -244,6 +252,25 @@
             raise failures.AttemptFailedError("stream ended within an event")
         if events.event_count == 0:
             begin_response()
+            events.write_comments()
+
+    async def _pump_events(
+        self,
+        attempt: sending.Attempt,
+        relay_data: Callable[[bytes], bool],
+        state: requeststate.RequestState,
+    ) -> None:
+        """Relays a stream; gives a stalled one up only if another upstream can resume it."""
+        if state.route.resumable and self._sender.can_retry(state):
+            gap_seconds = state.route.gap_seconds or 0.0
+            silence_seconds = max(MIN_SILENCE_SECONDS, SILENCE_GAP_FACTOR * gap_seconds)
+            try:
+                await attempt.answer.pump(relay_data, silence_seconds)
+                return
+            except http_errors.SilentUpstreamError:
+                if self._sender.can_retry(state):
+                    raise
+        await attempt.answer.pump(relay_data, None)
 
     async def _read_response(self, attempt: sending.Attempt) -> message.Response:
         """Reads the whole response of an attempt."""
@@ -255,6 +282,12 @@
             attempt.close()
         return message.Response(attempt.head.status, attempt.head.headers, body)
 
+    def _failure_refusal(self, state: requeststate.RequestState | None) -> ports.Refusal:
+        """Returns the refusal of a request that failed by an unexpected error."""
+        if state is not None and not state.may_have_run:
+            return self._admission.retryable_refusal(ports.RefusalReason.NOT_READY).refusal
+        return ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
+
     async def _refuse(
         self,
         caller: server.Exchange,
@@ -264,6 +297,8 @@
     ) -> None:
         if state is not None:
             self._meter(state.service).count(refused=1)
+        if caller.started:
+            caller.abort()
         if caller.started or caller.caller_disconnected:
             return
         try:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -160,15 +160,26 @@
             raise failures.RefusedError(refusal, failure.cause)
         raise self._admission.retryable_refusal(ports.RefusalReason.OVERLOADED, failure.cause)
 
+    def can_retry(self, state: requeststate.RequestState) -> bool:
+        """Returns whether a stream that an upstream no longer continues could be resumed."""
+        return self._may_be_sent_again(state, False) and self._retry_budget.allows(
+            state.service, self._entry_count, clock.steady()
+        )
+
     def reserve_retry(self, state: requeststate.RequestState, not_run: bool) -> bool:
         """Returns whether the request may be retried; if so, charges the retry budget."""
-        if not (not_run or state.route.idempotent):
-            return False
-        if state.sent_count >= state.route.max_upstreams:
-            return False
-        if state.deadline - asyncio.get_running_loop().time() < MIN_RETRY_SECONDS:
-            return False
-        return self._retry_budget.try_spend(state.service, self._entry_count, clock.steady())
+        return self._may_be_sent_again(state, not_run) and self._retry_budget.try_spend(
+            state.service, self._entry_count, clock.steady()
+        )
+
+    def _may_be_sent_again(self, state: requeststate.RequestState, not_run: bool) -> bool:
+        """Returns whether kind, attempts and deadline of a request permit a further attempt."""
+        remaining_seconds = state.deadline - asyncio.get_running_loop().time()
+        return (
+            (not_run or state.route.idempotent)
+            and state.sent_count < state.route.max_upstreams
+            and remaining_seconds >= MIN_RETRY_SECONDS
+        )
 
     def record_failure(self, state: requeststate.RequestState, cause: str, weight: float) -> None:
         """Records that the last attempt of a request failed at its upstream."""
@@ -213,7 +224,7 @@
                 request,
                 None,
                 before_send=on_sending,
-                matches_request=lambda head: self._answers_request(head, state),
+                matches_request=lambda head, reused: self._answers_request(head, reused, state),
             )
         except http_errors.ConnectError as error:
             raise failures.AttemptFailedError(str(error), sent=False, not_run=True) from error
@@ -223,11 +234,23 @@
             state.may_have_run = might_have_run
         return answer
 
-    def _answers_request(self, head: h11.Response, state: requeststate.RequestState) -> bool:
+    def _answers_request(
+        self, head: h11.Response, reused: bool, state: requeststate.RequestState
+    ) -> bool:
+        """Returns whether a response belongs to a request, by the request ID that it repeats.
+
+        Raises
+        ------
+        UpstreamBrokeError
+            If the response has no ID and the connection was used before, so that the response may
+            belong to an earlier request.
+        """
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers
         )
         answered_id = self._dialect.decode_response_head(head.status_code, headers).request_id
+        if answered_id is None and reused:
+            raise http_errors.UpstreamBrokeError("answer without a request ID on a used connection")
         return answered_id is None or answered_id == state.caller_request.id
 
     def _prompt_with_holders(self, state: requeststate.RequestState) -> placement.Prompt | None:
--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -28,6 +28,13 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
 )
+# Time within which the rest of a response's head arrives after its first byte.
+HEAD_TIMEOUT_SECONDS = 2.0
+# Informational responses (1xx) before the response to one request.
+MAX_INFORMATIONAL_RESPONSES = 8
+# Unrelated responses that are skipped before the response to one request, and their largest body.
+MAX_SKIPPED_RESPONSES = 4
+MAX_SKIPPED_BYTES = 1024 * 1024
 # h11's `trailing_data` after a chunk's data when no byte of the next chunk has arrived.
 _TRAILING_DATA_BETWEEN_CHUNKS = (b"\r\n", False)
 
@@ -68,12 +75,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data, and passes it to the sink while `pump` runs."""
-        self._last_received_at = self._loop.time()
         if not self.idle:
             self.protocol.receive_data(data)
         if self._sink is not None:
             self._deliver_to_sink()
             return
+        self._last_received_at = self._loop.time()
         if self.idle:
             # Bytes on an idle connection belong to no request; the next request would read them as
             # its response.
@@ -163,7 +170,44 @@
             await self.receive(timeout_seconds)
         return event
 
-    async def pump(self, sink: Callable[[bytes], None], silence_seconds: float | None) -> None:
+    async def next_head(self, timeout_seconds: float | None) -> h11.Response:
+        """Returns the head of the next final response.
+
+        Raises
+        ------
+        SilentUpstreamError
+            If no byte of it arrives for `timeout_seconds`.
+        UpstreamBrokeError
+            If the connection fails, if the head is malformed or longer than the parser accepts, if
+            its rest does not arrive in time, or after too many informational responses.
+        """
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            event = await self._next_head_event(timeout_seconds)
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise errors.UpstreamBrokeError("connection closed before the answer")
+        raise errors.UpstreamBrokeError("too many informational responses")
+
+    async def _next_head_event(self, timeout_seconds: float | None) -> object:
+        """Returns the next event; once a part of a head has arrived, the rest is due soon."""
+        event = self.next_buffered_event()
+        if event is h11.NEED_DATA:
+            await self.receive(timeout_seconds)
+            event = self.next_buffered_event()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            async with asyncio.timeout(HEAD_TIMEOUT_SECONDS):
+                return await self.next_event(None)
+        except TimeoutError:
+            raise errors.UpstreamBrokeError(
+                f"the head of the answer is incomplete after {HEAD_TIMEOUT_SECONDS} s"
+            ) from None
+
+    async def pump(
+        self, sink: Callable[[bytes], bool | None], silence_seconds: float | None
+    ) -> None:
         """Passes parts of the body to `sink` as they arrive; returns at the end of the body."""
         self._sink = sink
         self._last_received_at = self._loop.time()
@@ -228,8 +272,8 @@
             return
         try:
             data, complete = self._read_buffered_body()
-            if data:
-                sink(data)
+            if data and sink(data) is not False:
+                self._last_received_at = self._loop.time()
             if complete:
                 self._sink = None
                 self._wake()
@@ -300,16 +344,19 @@
                 case _:
                     raise errors.UpstreamBrokeError("connection closed in the middle of the body")
 
-    async def pump(self, sink: Callable[[bytes], None], silence_seconds: float | None) -> None:
+    async def pump(
+        self, sink: Callable[[bytes], bool | None], silence_seconds: float | None
+    ) -> None:
         """Calls `sink` with parts of the body as they arrive, until the body is complete.
 
         `sink` runs in the read callback of the event loop, so it must not block. If it raises, this
-        call ends with the same exception.
+        call ends with the same exception. It returns False for a part that brings no progress;
+        such parts count as silence. After a `SilentUpstreamError` the body can be pumped further.
 
         Raises
         ------
         SilentUpstreamError
-            If nothing arrives for `silence_seconds`.
+            If nothing that brings progress arrives for `silence_seconds`.
         UpstreamBrokeError
             If the connection fails before the body is complete.
         """
@@ -319,11 +366,13 @@
     async def read(self, silence_seconds: float | None, limit_bytes: int) -> bytes:
         """Returns the body; raises `UpstreamBrokeError` if it exceeds `limit_bytes`."""
         body = bytearray()
-        async for chunk in self.chunks(silence_seconds):
-            body += chunk
-            if len(body) > limit_bytes:
-                self.close()
-                raise errors.UpstreamBrokeError(f"answer exceeds {limit_bytes} bytes")
+        try:
+            async for chunk in self.chunks(silence_seconds):
+                body += chunk
+                if len(body) > limit_bytes:
+                    raise errors.UpstreamBrokeError(f"answer exceeds {limit_bytes} bytes")
+        finally:
+            self.close()
         return bytes(body)
 
     def close(self) -> None:
@@ -357,7 +406,7 @@
         timeout_seconds: float | None,
         new_connection: bool = False,
         before_send: Callable[[], None] | None = None,
-        matches_request: Callable[[h11.Response], bool] | None = None,
+        matches_request: Callable[[h11.Response, bool], bool] | None = None,
     ) -> StreamedResponse:
         """Sends a request and returns the response once its head has arrived.
 
@@ -375,8 +424,9 @@
             Called once connected, right before the first byte is written. If it raises, nothing
             is sent and the exception propagates.
         matches_request : callable, optional
-            Returns whether a response head belongs to this request. Other responses, left over
-            from an earlier request, are skipped.
+            Returns whether a response head belongs to this request; the second argument tells
+            whether the connection carried an earlier request. Other responses, left over from an
+            earlier request, are skipped. If it raises, the connection is closed.
 
         Raises
         ------
@@ -386,13 +436,18 @@
             If bytes may have been sent.
         """
         connection = None if new_connection else self._pop_idle(address)
+        reused = connection is not None
         if connection is None:
             connection = await self._connect(address)
         try:
             if before_send is not None:
                 before_send()
             head = await self._send_and_receive_head(connection, address, request, timeout_seconds)
-            while matches_request is not None and not matches_request(head):
+            skipped = 0
+            while matches_request is not None and not matches_request(head, reused):
+                skipped += 1
+                if skipped > MAX_SKIPPED_RESPONSES:
+                    raise errors.UpstreamBrokeError(f"{skipped} answers to other requests")
                 head = await self._skip_response(connection, timeout_seconds)
         except BaseException:
             connection.close()
@@ -405,13 +460,19 @@
         connection: _Connection, timeout_seconds: float | None
     ) -> h11.Response:
         """Skips the body of an unrelated response and returns the head of the next one."""
-        while not isinstance(await connection.next_event(timeout_seconds), h11.EndOfMessage):
-            pass
+        skipped_bytes = 0
+        while not isinstance(
+            event := await connection.next_event(timeout_seconds), h11.EndOfMessage
+        ):
+            if not isinstance(event, h11.Data):
+                raise errors.UpstreamBrokeError("connection closed in an answer to another request")
+            skipped_bytes += len(event.data)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise errors.UpstreamBrokeError(
+                    f"an answer to another request exceeds {MAX_SKIPPED_BYTES} bytes"
+                )
         connection.restart_parser()
-        event = await connection.next_event(timeout_seconds)
-        if not isinstance(event, h11.Response):
-            raise errors.UpstreamBrokeError("connection closed before the answer")
-        return event
+        return await connection.next_head(timeout_seconds)
 
     def release(self, address: str, connection: _Connection) -> None:
         """Returns a connection to the pool if its response is complete and it is reusable."""
@@ -479,12 +540,7 @@
             data += protocol.send(h11.Data(data=request.body))
         data += protocol.send(h11.EndOfMessage())
         await connection.send(data)
-        while True:
-            event = await connection.next_event(timeout_seconds)
-            if isinstance(event, h11.Response):
-                return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise errors.UpstreamBrokeError("connection closed before the answer")
+        return await connection.next_head(timeout_seconds)
 
 
 def _keep_alive_seconds(head: h11.Response) -> float:
--- /dev/null
+++ b/packages/daemon/tests/test_gateway_duties.py
@@ -0,0 +1,93 @@
+"""Tests of cloud calls by a process that was suspended, and of background work that fails."""
+
+import asyncio
+import types
+import unittest
+import unittest.mock
+
+from coltsfoothead.coordination.replication import errors as replication_errors
+from coltsfoothead.daemon import metrics
+from coltsfoothead.daemon.gateway import background, duties, eventlog, planstore, ports
+from coltsfoothead.daemon.http import message
+
+
+class SuspendingClient:
+    """Client of a process that is suspended while it connects, until its lease has ended."""
+
+    def __init__(self, lease):
+        self.lease = lease
+        self.sent = []
+
+    async def send(self, address, request, timeout_seconds, before_send=None):
+        self.lease.remaining = lambda: 0.0
+        if before_send is not None:
+            before_send()
+        self.sent.append(request)
+        return types.SimpleNamespace(status=200, read=unittest.mock.AsyncMock())
+
+
+class SuspendedHolderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_no_call_is_sent_after_the_lease_has_ended(self):
+        """Guards against a call by an old holder, with a fence lower than one the cloud has seen.
+
+        The lease was checked before the process was suspended.
+        """
+        lease = types.SimpleNamespace(fence=0, remaining=lambda: 2.0)
+        client = SuspendingClient(lease)
+        dialect = unittest.mock.Mock()
+        dialect.encode.return_value = message.Request("POST", "/scale", (), b"{}")
+        dialect.decode_outcome.return_value = ports.CloudOutcome.DONE
+        cloud_duties = duties.CloudDuties(
+            dialect,
+            "10.0.0.1:80",
+            client,
+            lease,
+            None,
+            "core-1",
+            5.0,
+            10.0,
+            lambda: None,
+            lambda: None,
+            planstore.PlanStore(),
+            eventlog.EventLog("test"),
+            metrics.Metrics(),
+        )
+        order = ports.RunnerOrder("models", "a", 2, True)
+        outcome = await cloud_duties._call_cloud(order)
+        self.assertEqual((outcome, client.sent), (ports.CloudOutcome.FAILED, []))
+
+
+class KeepRunningTest(unittest.IsolatedAsyncioTestCase):
+    async def test_work_goes_on_after_an_unexpected_error(self):
+        """Guards against one malformed message or unforeseen error that ends the process."""
+        runs = []
+        done = asyncio.Event()
+
+        async def work():
+            runs.append(len(runs))
+            if len(runs) < 3:
+                raise KeyError("unforeseen")
+            done.set()
+            await asyncio.sleep(60)
+
+        events = unittest.mock.create_autospec(eventlog.EventLog, instance=True)
+        with unittest.mock.patch.object(background, "RESTART_DELAY_SECONDS", 0.0):
+            running = asyncio.create_task(background.keep_running("plan", work, events))
+            await asyncio.wait_for(done.wait(), 5)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        self.assertEqual(runs, [0, 1, 2])
+        self.assertEqual(len(events.warn.mock_calls), 2)
+
+    async def test_a_stopped_log_ends_the_work(self):
+        """Guards against a role that goes on without its log and is never started anew."""
+
+        async def work():
+            raise replication_errors.StoppedError("the replica has stopped")
+
+        with self.assertRaises(replication_errors.StoppedError):
+            await background.keep_running("plan", work, eventlog.EventLog("test"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/tests/test_http_client.py
+++ b/packages/daemon/tests/test_http_client.py
@@ -39,7 +39,7 @@
     async def fetch(self, name):
         """Sends a request and returns the body of the response that belongs to it."""
 
-        def matches_request(head):
+        def matches_request(head, reused):
             return dict(head.headers).get(b"request-id") == name.encode()
 
         request = message.Request("GET", f"/{name}", (), b"")
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/repeats.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/repeats.py
@@ -37,8 +37,8 @@
         """Counts a caller's request to a service at a steady time in seconds."""
         self._recent(self._requests, service, now).append(now)
 
-    def try_spend(self, service: str, entries: int, now: float) -> bool:
-        """Returns whether the budget allows a retry, and counts the retry if so.
+    def allows(self, service: str, entries: int, now: float) -> bool:
+        """Returns whether the budget allows a retry.
 
         Parameters
         ----------
@@ -49,12 +49,16 @@
             Steady time in seconds.
         """
         requests = len(self._recent(self._requests, service, now))
-        retries = self._recent(self._retries, service, now)
+        retries = len(self._recent(self._retries, service, now))
         allowed = USED_FRACTION * (self._ratio * requests + self._fixed / max(1, entries))
-        if len(retries) + 1 > allowed:
-            return False
-        retries.append(now)
-        return True
+        return retries + 1 <= allowed
+
+    def try_spend(self, service: str, entries: int, now: float) -> bool:
+        """Returns whether the budget allows a retry, and counts the retry if so."""
+        allowed = self.allows(service, entries, now)
+        if allowed:
+            self._retries[service].append(now)
+        return allowed
 
     def _recent(
         self, times_by_service: dict[str, collections.deque[float]], service: str, now: float
