Record the ends of upstreams in the control log

Cause: the directory of upstreams lives in the memory of the control processes. After a restart of all of them, an announcement that a runner sent before its end, and that arrived late, made the withdrawn runner ready again at each entry that was restarted too.

Change: the leader writes ID and start of a withdrawn upstream to the control log before it confirms the withdrawal; a new leader takes them over as tombstones after its first read barrier.

Ruled out: keys that were withdrawn; an entry holds documents in memory only and the log keeps the newest one.

--- a/packages/coordination/src/coltsfoothead/coordination/writeonce.py
+++ b/packages/coordination/src/coltsfoothead/coordination/writeonce.py
@@ -42,6 +42,14 @@
         """Returns the value of a register, or None if it was not written or was dropped."""
         return self._values.get(key)
 
+    def read_all(self, prefix: str) -> dict[str, bytes]:
+        """Returns the registers whose keys start with `prefix`, by the rest of the key."""
+        return {
+            key.removeprefix(prefix): value
+            for key, value in self._values.items()
+            if key.startswith(prefix)
+        }
+
     def apply(self, index: int, command: Write) -> Value:
         """Applies one command."""
         value = self._values.setdefault(command.key, command.value)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from coltsfoothead.coordination import configuration
+from coltsfoothead.coordination import configuration, writeonce
 from coltsfoothead.coordination import errors as coordination_errors
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon.control import loghost, proposer
@@ -119,6 +119,20 @@
                 state = "withdrawn"
         if changed:
             self._events.write("announced", word=msgspec.to_builtins(record), state=state)
+        born = term.directory.start_of(record.upstream_id) if state == "withdrawn" else 0
+        return not (changed and born) or await self._record_end(record.upstream_id, born)
+
+    async def _record_end(self, upstream_id: str, born: int) -> bool:
+        """Records in the log that a start of an upstream has ended; returns whether it succeeded.
+
+        The directory is lost when all control processes restart.
+        """
+        command = writeonce.Write(f"{termmanager.ENDED_PREFIX}{upstream_id}/{born}", b"")
+        try:
+            await self._proposer.propose(loghost.CONTROL, writeonce.NAME, command)
+        except (proposer.QuorumLostError, proposer.UnknownOutcomeError) as error:
+            self._events.warn("end_not_recorded", id=upstream_id, cause=str(error))
+            return False
         return True
 
     async def _execute(self, request: message.Request) -> ports.ControlOutcome:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -20,6 +20,8 @@
 # Time from a copy's first update within which all running upstreams announce themselves: one
 # announcement interval, and half of one for calls made while control processes were still starting.
 DISCOVERY_SECONDS = 1.0
+# Sequence number of a record that follows every announcement after the same start.
+LAST_SEQUENCE = 2**63 - 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +103,25 @@
         self._change(dataclasses.replace(known.upstream, state=upstreams.State.GONE), now)
         return True
 
+    def add_tombstone(self, upstream_id: str, born: int, now: float) -> None:
+        """Records an ended start of an upstream, of which this directory may know nothing.
+
+        An announcement that was delayed since before the end is recognised by it.
+        """
+        known = self._records.get(upstream_id)
+        if known is None:
+            tombstone = upstreams.Upstream(
+                upstream_id, "", "", "", 1, upstreams.State.GONE, born, LAST_SEQUENCE
+            )
+            self._change(tombstone, now)
+        elif known.upstream.born == born and known.upstream.state is not upstreams.State.GONE:
+            self._change(dataclasses.replace(known.upstream, state=upstreams.State.GONE), now)
+
+    def start_of(self, upstream_id: str) -> int:
+        """Returns the known start of an upstream as Unix time in milliseconds, or 0."""
+        known = self._records.get(upstream_id)
+        return known.upstream.born if known is not None else 0
+
     def expire(self, now: float) -> list[upstreams.Upstream]:
         """Marks silent upstreams as lost, removes old tombstones; returns the lost ones."""
         lost = []
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from coltsfoothead.coordination import configuration
+from coltsfoothead.coordination import configuration, writeonce
 from coltsfoothead.coordination import errors as coordination_errors
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.control import loghost
@@ -18,9 +18,11 @@
 )
 from coltsfoothead.kernel.traffic import quota
 
-__all__ = ["TermManager"]
+__all__ = ["ENDED_PREFIX", "TermManager"]
 
 CHECK_INTERVAL_SECONDS = 0.1
+# Prefix of the registers of ended upstreams; the rest of the key is ID and start.
+ENDED_PREFIX = "ended/"
 # Interval of the read barriers that confirm this process as leader and extend the document lease.
 CONFIRM_INTERVAL_SECONDS = 0.3
 CONFIRM_TIMEOUT_SECONDS = 1.0
@@ -77,6 +79,8 @@
         self._events = events
         self._current: leadership.Leadership | None = None
         self._term_number = 0
+        # Whether the current directory holds the ended upstreams that the log records.
+        self._tombstones_added = False
 
     @property
     def current(self) -> leadership.Leadership | None:
@@ -152,6 +156,7 @@
             leadership_id, self._announcement_interval_seconds, inherited, now
         )
         self._current = leadership.Leadership(upstreams, self._lease_seconds, self._tolerance)
+        self._tombstones_added = False
         self._events.write("leading", term=term_number, upstreams=len(inherited))
 
     def _end_term(self) -> None:
@@ -169,9 +174,21 @@
         except coordination_errors.CoordinationError as error:
             self._events.write("leadership_not_confirmed", term=self._term_number, cause=str(error))
             return
+        if not self._tombstones_added:
+            # Before the barrier, this process may not have applied all entries of its log.
+            self._tombstones_added = True
+            self._add_tombstones(term.directory)
         term.lease.extend(started_at)
         self._refresh_document(term, started_at)
 
+    def _add_tombstones(self, upstream_directory: directory.Directory) -> None:
+        """Adds the ended upstreams that the control log records to the directory."""
+        registers = self._logs.machine(loghost.CONTROL).state(writeonce.NAME)
+        now = clock.steady()
+        for key in registers.read_all(ENDED_PREFIX):
+            upstream_id, _, born = key.rpartition("/")
+            upstream_directory.add_tombstone(upstream_id, int(born), now)
+
     def _refresh_document(self, term: leadership.Leadership, polled_at: float) -> None:
         """Updates this process's copy of the document from its own log, as an entry would."""
         state = self._logs.machine(loghost.CONTROL).state(configuration.NAME)
--- a/packages/daemon/tests/test_gateway_directory.py
+++ b/packages/daemon/tests/test_gateway_directory.py
@@ -66,6 +66,21 @@
         self.leader.announce(upstream(9, name="i-other", born=150), 1.1)
         self.assertNotIn("i-other", [each.id for each in self.leader.records])
 
+    def test_a_tombstone_stops_a_delayed_announcement_only(self):
+        """Guards against reviving an ended start that this leader never knew.
+
+        The directory is lost when all control processes restart; the log keeps the ends.
+        """
+        self.leader.add_tombstone("i-1", 100, 0.0)
+        self.assertFalse(self.leader.announce(upstream(9), 0.1))
+        self.assertIs(self.state(), GONE)
+        self.leader.announce(upstream(1, born=200), 0.2)
+        self.assertIs(self.state(), READY)
+        self.leader.add_tombstone("i-1", 100, 0.3)
+        self.assertIs(self.state(), READY)
+        self.leader.add_tombstone("i-1", 200, 0.4)
+        self.assertIs(self.state(), GONE)
+
     def test_repeated_announcements_are_no_change(self):
         """Guards against updates that grow with the number of announcements."""
         self.leader.announce(upstream(1), 0.0)
