Ignore announcements of services that the document does not name

Cause: an announcement with an unknown service replaced the record under its ID, and with a later start it marked the upstream at its address as gone, whose own announcements then counted as those of an older start for a minute.

Change: the leader confirms such an announcement and ignores it while it knows a document.

Ruled out: refusing it with 400; a service may be named by the next document, and its runner announces itself again.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
@@ -111,6 +111,10 @@
         record = exchange.decode_announcement(payload).record
         now = self._terms.now()
         match record:
+            case upstreams.Upstream() if not self._terms.names_service(record.service):
+                # It could take the ID or the address of an upstream that is in use.
+                self._metrics.count("announcements_of_unknown_services")
+                return True
             case upstreams.Upstream():
                 changed = term.directory.announce(record, now)
                 state = record.state.value
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -99,6 +99,11 @@
         member = task.members.get(leader) if leader is not None else None
         return member[0] if member is not None else None
 
+    def names_service(self, service: str) -> bool:
+        """Returns whether the document in force names a service; True while none is known."""
+        table = self._documents.table
+        return table is None or service in table.routing.services
+
     async def run(self) -> None:
         """Starts and ends terms with the leadership of the log, until cancelled."""
         confirmed_at = 0.0
--- a/packages/daemon/tests/test_http_client.py
+++ b/packages/daemon/tests/test_http_client.py
@@ -98,6 +98,28 @@
         with self.assertRaises(errors.UpstreamBrokeError):
             await self.fetch("one")
 
+    async def test_an_endless_answer_that_is_given_up_is_closed(self):
+        """Guards against a connection that stays open after its answer was given up."""
+        closed = asyncio.Event()
+
+        async def respond(number, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            try:
+                while True:
+                    writer.write(b"1\r\nx\r\n")
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+            finally:
+                closed.set()
+
+        await self.start(respond)
+        request = message.Request("POST", "/scale", (), b"")
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                streamed_response = await self.client.send(self.address, request, None)
+                await streamed_response.read(None, 64 * 1024)
+        await asyncio.wait_for(closed.wait(), 5)
+
     async def test_idle_connections_are_kept_for_the_keep_alive_time_of_the_server(self):
         """Guards against sending a request while the server closes the idle connection."""
 
