--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -20,9 +20,6 @@
 # thirty requests at once; by the step times of the platform's specification.
 PREFILL_TOKENS_PER_SECOND = 56_000.0
 DECODE_TOKENS_PER_SECOND = 5_000.0
-# Load per runner that is accepted while reclaimable runners are not available, as a multiple of the
-# one that runners carry within the objectives.
-STRAINED_LOAD_FACTOR = 1.2
 # Fraction of the runners required at that utilisation that has to survive the next loss of a zone's
 # reclaimable runners. Losses follow each other within seconds, and a runner takes seconds to start.
 SURVIVING_FRACTION = 0.75
@@ -317,8 +314,7 @@
         for (zone, reclaimable), last in self._last_orders.items():
             if not reclaimable and zone in counts:
                 counts[zone] = last.count
-        accepted_load = STRAINED_LOAD_FACTOR * self._capacity.load_per_runner
-        required = required_runners(self._on_demand_peak, accepted_load)
+        required = required_runners(self._on_demand_peak, self._capacity.strained_load_per_runner)
         if any(
             not last.accepted for (_, reclaimable), last in self._last_orders.items() if reclaimable
         ):
--- a/packages/kernel/tests/test_runnerplan_latency.py
+++ b/packages/kernel/tests/test_runnerplan_latency.py
@@ -1,5 +1,6 @@
 """Tests of the runner plan on load patterns in which answers are late, without a network."""
 
+import math
 import unittest
 
 import cloud_simulation
@@ -81,8 +82,9 @@
         for _ in range(12):
             simulated.run(5, builders.demand(3))
             counts.append(simulated.count())
-        steps = [before - after for before, after in zip([high, *counts], counts, strict=False)]
-        self.assertLessEqual(max(steps), runnerplan.RECLAIMABLE_RELEASE_FRACTION * high)
+        for before, after in zip([high, *counts], counts, strict=False):
+            step = math.ceil(runnerplan.RECLAIMABLE_RELEASE_FRACTION * before)
+            self.assertLessEqual(before - after, step)
         self.assertLess(counts[-1], high)
 
     def test_no_runner_is_released_while_answers_are_late(self):
