Let the learned load per runner recover within 20 s

Cause: after a step down the estimate returned to its initial value with a time constant of 60 s and only while the number of runners had not changed for 3 s.

Change: the time constant is 20 s, and the number of runners matters for steps down only.

--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnercapacity.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnercapacity.py
@@ -34,7 +34,7 @@
 # Rate of finished streams below which the fraction of late ones is left to chance.
 MIN_FINISHED_PER_SECOND = 3.0
 # Time constant with which the estimate returns to its initial value while few answers are late.
-FORGET_SECONDS = 60.0
+FORGET_SECONDS = 20.0
 
 
 class RunnerCapacity:
@@ -94,9 +94,11 @@
         if enough_finished and not self._warmed_up:
             self._warmed_up = True
             self._settled_at = max(self._settled_at, now + WARM_UP_SECONDS)
-        if not ready_count or not enough_finished or now < self._settled_at:
+        if not ready_count or not enough_finished:
             return
         if self._answers_late:
+            if now < self._settled_at:
+                return
             carried = BACKOFF_FACTOR * load / ready_count / STRAINED_LOAD_FACTOR
             if carried < self._load_per_runner:
                 least = max(MIN_LOAD_PER_RUNNER, MIN_STEP_FACTOR * self._load_per_runner)
