Keep on-demand runners for two losses at once while a zone is dry

Change: while a zone offers no reclaimable runners, half of those required have to survive the loss of the two largest zones; on-demand runners make up for what is missing.

Tests: test_runnerplan_latency, a new case of this pattern that failed before (1 runner of 2 needed).

--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -23,6 +23,9 @@
 # Fraction of the runners required at that utilisation that has to survive the next loss of a zone's
 # reclaimable runners. Losses follow each other within seconds, and a runner takes seconds to start.
 SURVIVING_FRACTION = 0.75
+# Fraction of the runners required that has to survive the next two losses together, while a zone
+# offers no reclaimable runners. Several zones may lose theirs within a second.
+DOUBLE_LOSS_FRACTION = 0.5
 # Runners that are kept while the demand is not known yet.
 MIN_RUNNERS = 3
 # Half-life of the recorded peak of the demand; callers come in waves of 40 s. The on-demand runners
@@ -315,19 +318,18 @@
             if not reclaimable and zone in counts:
                 counts[zone] = last.count
         required = required_runners(self._on_demand_peak, self._capacity.strained_load_per_runner)
-        if any(
-            not last.accepted for (_, reclaimable), last in self._last_orders.items() if reclaimable
-        ):
+        ready_total = sum(ready_reclaimable.values())
+        largest = sorted(ready_reclaimable.values(), reverse=True)
+        dry = not all(self._offers_reclaimable(zone) for zone in self._zones)
+        if dry:
             required = max(required, MIN_RUNNERS)
-        shortage = required - sum(ready_reclaimable.values())
+        shortage = required - ready_total
         if any(ready_reclaimable[zone] < wanted_reclaimable[zone] for zone in self._zones):
             surviving = math.ceil(SURVIVING_FRACTION * required)
-            shortage = max(
-                shortage,
-                surviving
-                - sum(ready_reclaimable.values())
-                + max(ready_reclaimable.values(), default=0),
-            )
+            shortage = max(shortage, surviving - ready_total + sum(largest[:1]))
+        if dry:
+            surviving = math.ceil(DOUBLE_LOSS_FRACTION * required)
+            shortage = max(shortage, surviving - ready_total + sum(largest[:2]))
         surplus = sum(counts.values()) - max(0, shortage)
         if surplus <= 0:
             self._surplus_since = None
--- a/packages/kernel/tests/test_runnerplan_latency.py
+++ b/packages/kernel/tests/test_runnerplan_latency.py
@@ -57,6 +57,23 @@
         simulated.run(20, builders.demand(2))
         self.assertLess(simulated.late_fraction(20), ALLOWED_LATE_FRACTION)
 
+    def test_two_zones_that_are_lost_at_once_after_a_third_leave_half(self):
+        """Load pattern: one zone is reclaimed, 6 s later the two others within half a second.
+
+        Guards against no runner at all for the boot time of the on-demand ones (incident inc-1d85).
+        """
+        simulated = cloud(6, 1.0, builders.ZONES)
+        simulated.run(20, builders.demand(2))
+        simulated.reclaim("c", unavailable_seconds=30)
+        simulated.run(6, builders.demand(2))
+        simulated.reclaim("a", unavailable_seconds=30)
+        simulated.run(0.5, builders.demand(2))
+        simulated.reclaim("b", unavailable_seconds=30)
+        needed = runnerplan.required_runners(
+            builders.demand(2), runnercapacity.RunnerCapacity().strained_load_per_runner
+        )
+        self.assertGreaterEqual(simulated.run(6, builders.demand(2)), needed / 2)
+
     def test_a_dry_zone_is_replaced_by_the_other_zones(self):
         """Load pattern: one of six zones is reclaimed and offers no runners for a minute.
 
