Tell callers to return when a runner can have started

Cause: while no runner of a service was left, callers were told to return after 0.5 to 1.5 s, although a runner takes 4 s to start; most of them retry once.

Change: if runners of the service can be ordered, the time to return lies between half of the boot time and the whole.

Ruled out: holding the request until then; it is refused at once.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -89,7 +89,7 @@
         if caller_request.timeout_seconds is not None:
             timeout_seconds = min(timeout_seconds, caller_request.timeout_seconds)
         service = self._choose_service(route)
-        engine = table.routing.services[service].engine
+        scaling = table.routing.services[service].scaling
         state = requeststate.RequestState(
             request,
             caller_request,
@@ -100,17 +100,31 @@
             arrived_at,
             arrived_at + timeout_seconds - RESPONSE_MARGIN_SECONDS,
             _prompt_sizes(caller_request),
-            engine,
+            table.routing.services[service].engine,
+            scaling.boot_seconds if scaling is not None else None,
         )
         on_routed(state)
         await self._charge_quota(state)
         return state
 
     def retryable_refusal(
-        self, reason: ports.RefusalReason, cause: str = ""
+        self, reason: ports.RefusalReason, cause: str = "", boot_seconds: float | None = None
     ) -> failures.RefusedError:
-        """Returns the error for a request that has not run and that the caller may retry."""
-        delay_seconds = self._rng.uniform(*RETRY_AFTER_SECONDS[reason])
+        """Returns the error for a request that has not run and that the caller may retry.
+
+        Parameters
+        ----------
+        reason : RefusalReason
+        cause : str, optional
+            Cause for the log.
+        boot_seconds : float, optional
+            Time that a runner takes to start, if the caller has to wait for one. Most runners have
+            been ordered some time ago.
+        """
+        shortest, longest = RETRY_AFTER_SECONDS[reason]
+        if boot_seconds is not None:
+            shortest, longest = max(shortest, boot_seconds / 2), max(longest, boot_seconds)
+        delay_seconds = self._rng.uniform(shortest, longest)
         return failures.RefusedError(ports.Refusal(reason, delay_seconds), cause)
 
     def refund(self, state: requeststate.RequestState) -> None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -19,6 +19,8 @@
         Event loop times.
     engine : Engine or None
         Engine of the service's model runners.
+    boot_seconds : float or None
+        Time that a runner of the service takes to start; None if none can be ordered.
     charged_amount : float
         Amount charged to the organisation's quota.
     sent_count : int
@@ -51,6 +53,7 @@
     deadline: float
     prompt: placement.Prompt | None = None
     engine: document.Engine | None = None
+    boot_seconds: float | None = None
     charged_amount: float = 0.0
     sent_count: int = 0
     excluded_upstreams: set[str] = dataclasses.field(default_factory=set)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -329,7 +329,9 @@
         """Returns the refusal of a request that cannot be sent, or None if it can."""
         if chosen is None:
             cause = f"no upstream of {state.service} among {len(self._directory.records)} known"
-            return self._admission.retryable_refusal(ports.RefusalReason.NO_UPSTREAM, cause)
+            return self._admission.retryable_refusal(
+                ports.RefusalReason.NO_UPSTREAM, cause, state.boot_seconds
+            )
         if state.sent_count:
             return None
         verdict = overload.decide_admission(state.route, chosen, state.prompt)
