Answer calls of runners and operators that fail by an unforeseen error

Cause: an unforeseen error while a control process handled a call closed its connection without an answer.

Change: it is logged with a trace and answered as unavailable, so that the caller tries another process at once.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
@@ -1,6 +1,7 @@
 """HTTP API for upstreams and operators, which every control process serves."""
 
 import time
+import traceback
 
 import msgspec
 
@@ -82,6 +83,13 @@
         except (ports.MalformedMessageError, check.InvalidDocumentError) as error:
             self._events.write("call_invalid", path=caller.request.path, cause=str(error))
             outcome = ports.Invalid(str(error))
+        except Exception as error:
+            # The caller tries another process at once instead of waiting for its time-out.
+            trace = traceback.format_exc(limit=-4)
+            self._events.warn(
+                "call_failed", path=caller.request.path, cause=repr(error), trace=trace
+            )
+            outcome = ports.Unavailable("unexpected error")
         self._metrics.count(f"control_{type(outcome).__name__.lower()}")
         await caller.respond(self._dialect.encode(outcome))
 
--- a/packages/daemon/tests/test_gateway_duties.py
+++ b/packages/daemon/tests/test_gateway_duties.py
@@ -1,4 +1,4 @@
-"""Tests of cloud calls by a process that was suspended, and of background work that fails."""
+"""Tests of cloud calls by a suspended process, and of unforeseen errors in control processes."""
 
 import asyncio
 import types
@@ -7,7 +7,14 @@
 
 from coltsfoothead.coordination.replication import errors as replication_errors
 from coltsfoothead.daemon import metrics
-from coltsfoothead.daemon.gateway import background, duties, eventlog, planstore, ports
+from coltsfoothead.daemon.gateway import (
+    background,
+    controlapi,
+    duties,
+    eventlog,
+    planstore,
+    ports,
+)
 from coltsfoothead.daemon.http import message
 
 
@@ -57,6 +64,30 @@
         self.assertEqual((outcome, client.sent), (ports.CloudOutcome.FAILED, []))
 
 
+class ControlApiTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_unforeseen_error_in_a_call_is_answered(self):
+        """Guards against a call without an answer, for which its caller waits in vain."""
+        dialect = unittest.mock.Mock()
+        dialect.decode.side_effect = KeyError("unforeseen")
+        api = controlapi.ControlApi(
+            dialect,
+            "core-1",
+            80,
+            None,
+            None,
+            None,
+            None,
+            eventlog.EventLog("test"),
+            metrics.Metrics(),
+        )
+        caller = unittest.mock.Mock(request=message.Request("PUT", "/config", (), b"{}"))
+        caller.respond = unittest.mock.AsyncMock()
+        await api.handle(caller)
+        [call] = dialect.encode.mock_calls
+        self.assertIsInstance(call.args[0], ports.Unavailable)
+        caller.respond.assert_awaited_once_with(dialect.encode.return_value)
+
+
 class KeepRunningTest(unittest.IsolatedAsyncioTestCase):
     async def test_work_goes_on_after_an_unexpected_error(self):
         """Guards against one malformed message or unforeseen error that ends the process."""
