Lower the load per runner while runners come and go, but not while lateness falls

Cause: the estimate was lowered only after the number of runners had not changed for 3 s.

Change: a step needs no settled count, follows the last one by the boot time of a runner and 3 s, and is the larger the more answers are late.

Ruled out: counting streams at their first event only; most are late by a pause.

Tests: test_runnerplan_latency, two new cases that failed before each change.

--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -146,7 +146,7 @@
         self._last_orders: dict[tuple[str, bool], _LastOrder] = {}
         self._surplus_since: float | None = None
         self._reclaimable_surplus_since: float | None = None
-        self._capacity = runnercapacity.RunnerCapacity()
+        self._capacity = runnercapacity.RunnerCapacity(self._scaling.boot_seconds)
         self._peak = self._on_demand_peak = demandmeter.DemandRates()
         self._peaks_updated_at: float | None = None
         self._planning_since: float | None = None
@@ -191,7 +191,9 @@
         self._peak, self._on_demand_peak = state.peak, state.dear_peak
         self._peaks_updated_at = now
         self._initial_runners = state.present
-        self._capacity = runnercapacity.RunnerCapacity(state.load_per_runner)
+        self._capacity = runnercapacity.RunnerCapacity(
+            self._scaling.boot_seconds, state.load_per_runner
+        )
         if state.known_seconds is not None:
             self._demand_since = now - state.known_seconds
         self._planning_since = now - DISCOVERY_SECONDS
--- a/packages/kernel/tests/test_runnerplan_latency.py
+++ b/packages/kernel/tests/test_runnerplan_latency.py
@@ -57,6 +57,38 @@
         simulated.run(20, builders.demand(2))
         self.assertLess(simulated.late_fraction(20), ALLOWED_LATE_FRACTION)
 
+    def test_falling_lateness_orders_nothing_more(self):
+        """Load pattern: most answers were late; runners have come, but long streams end only now.
+
+        Guards against ordering the same runners twice.
+        """
+        capacity = runnercapacity.RunnerCapacity(4.0)
+        late_fractions = [0.0] * 10 + [0.45] * 8 + [0.45 * 0.9**step for step in range(15)]
+        for step, late_fraction in enumerate(late_fractions):
+            rates = demandmeter.DemandRates(finished=30.0, late=30.0 * late_fraction)
+            capacity.update(5.0, 9 if step < 20 else 14, rates, 100.0 + 0.5 * step)
+            if step == 17:
+                after_first_step = capacity.load_per_runner
+        self.assertLess(after_first_step, runnercapacity.INITIAL_LOAD_PER_RUNNER)
+        self.assertGreaterEqual(capacity.load_per_runner, after_first_step)
+
+    def test_losses_one_after_another_do_not_delay_orders(self):
+        """Load pattern: full load at 0.6 of the nominal speed; a runner is lost every second.
+
+        Guards against waiting for a settled number of runners while most answers are late.
+        """
+        simulated = cloud(24, 0.6)
+        demand = builders.demand(24 * 0.6 * 0.5)
+        simulated.run(20, demand)
+        for zone in SIX_ZONES:
+            simulated.unavailable_until[zone] = simulated.now + 60
+        for name in list(simulated.runners)[:12]:
+            del simulated.runners[name]
+            simulated.run(1, demand)
+        simulated.run(8, demand)
+        simulated.run(10, demand)
+        self.assertLess(simulated.late_fraction(10), ALLOWED_LATE_FRACTION)
+
     def test_two_zones_that_are_lost_at_once_after_a_third_leave_half(self):
         """Load pattern: one zone is reclaimed, 6 s later the two others within half a second.
 
@@ -70,7 +102,7 @@
         simulated.run(0.5, builders.demand(2))
         simulated.reclaim("b", unavailable_seconds=30)
         needed = runnerplan.required_runners(
-            builders.demand(2), runnercapacity.RunnerCapacity().strained_load_per_runner
+            builders.demand(2), runnercapacity.RunnerCapacity(4.0).strained_load_per_runner
         )
         self.assertGreaterEqual(simulated.run(6, builders.demand(2)), needed / 2)
 
