Bound a head's time from its first byte, not from the end of the last stream

Cause: the limit of 2 s for the rest of a response's head, added in, began when the connection last had input.

Change: the limit begins once the parser holds a part of a head.

Ruled out: a limit on the wait for the first byte; the route's deadline bounds it.

--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -192,7 +192,7 @@
     async def _next_head_event(self, timeout_seconds: float | None) -> object:
         """Returns the next event; once a part of a head has arrived, the rest is due soon."""
         event = self.next_buffered_event()
-        if event is h11.NEED_DATA:
+        while event is h11.NEED_DATA and not self.protocol.trailing_data[0]:
             await self.receive(timeout_seconds)
             event = self.next_buffered_event()
         if event is not h11.NEED_DATA:
--- a/packages/daemon/tests/test_http_client.py
+++ b/packages/daemon/tests/test_http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+import unittest.mock
 
 from coltsfoothead.daemon.http import client, errors, message
 
@@ -98,6 +99,24 @@
         with self.assertRaises(errors.UpstreamBrokeError):
             await self.fetch("one")
 
+    async def test_a_slow_answer_on_a_used_connection_is_waited_for(self):
+        """Guards against counting the end of the last stream as the begin of the next head."""
+
+        async def respond(number, writer):
+            if number == 2:
+                await asyncio.sleep(0.5)
+            writer.write(response("one"))
+
+        await self.start(respond)
+        request = message.Request("GET", "/one", (), b"")
+        with unittest.mock.patch.object(client, "HEAD_TIMEOUT_SECONDS", 0.1):
+            for _ in range(2):
+                parts = []
+                streamed_response = await self.client.send(self.address, request, None)
+                await streamed_response.pump(parts.append, None)
+                self.assertEqual(b"".join(parts), b"hi")
+        self.assertEqual(self.connections, 1)
+
     async def test_an_endless_answer_that_is_given_up_is_closed(self):
         """Guards against a connection that stays open after its answer was given up."""
         closed = asyncio.Event()
