--- a/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/runnerplan.py
@@ -3,8 +3,8 @@
 Reclaimable runners cost a fraction of the price of on-demand ones, but the cloud may reclaim all
 those of a zone at once. The plan spreads reclaimable runners over the zones so that the rest meets
 the demand when one zone loses its own. While a zone has none to offer, the other zones get its
-share. On-demand runners only substitute for reclaimable ones that are not available. Runners are
-released one by one, and only while answers meet their objectives.
+share. On-demand runners only substitute for reclaimable ones that are not available. Reclaimable
+runners are released a tenth at a time, and only while answers meet their objectives.
 """
 
 import collections
