Log which prompt parts an attempt carried and how it ended

Cause looked for: the lines of an attempt named neither the prompt's parts nor whether its answer had begun, so that they could not tell whether the crashes follow a part of the prompts, the entries' own retries, or the load left by earlier crashes. Change: attempt_failed tells `closed` (the upstream closed or reset the connection, a new error type of the HTTP client; time-outs and malformed answers are not), `began` and `parts`; request tells `parts`. No decision changes. Run: the modules of HTTP client and server, relay, troubled runners, whole path and operations pages: 73 passed, 0 failed.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/failures.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/failures.py
@@ -33,6 +33,8 @@
         Whether bytes of the request may have been sent.
     not_run : bool
         Whether the request certainly did not run at the upstream.
+    closed : bool
+        Whether the upstream closed or reset the connection before its response was complete.
     response : Response, optional
         The upstream's error response, which is passed on if no other attempt is made.
     """
@@ -43,10 +45,12 @@
         *,
         sent: bool = True,
         not_run: bool = False,
+        closed: bool = False,
         response: message.Response | None = None,
     ) -> None:
         super().__init__(cause)
         self.cause = cause
         self.sent = sent
         self.not_run = not_run
+        self.closed = closed
         self.response = response
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -171,7 +171,8 @@
                 continue
             failed = response.status >= 500
             if failed and self._sender.reserve_retry(state, not_run=False):
-                self._sender.record_failure(state, f"status {response.status}", 0.3)
+                failure = failures.AttemptFailedError(f"status {response.status}")
+                self._sender.record_failure(state, failure, 0.3)
                 continue
             self._count_usage(state)
             await caller.respond(response)
@@ -197,7 +198,7 @@
                     if failure.response is None:
                         self._sender.ensure_retry(state, failure)
                     continue
-                self._sender.record_failure(state, failure.cause, 1.0)
+                self._sender.record_failure(state, failure, 1.0)
                 if failure.sent and not self._sender.reserve_retry(state, failure.not_run):
                     caller.abort()
                     return "broken_by_upstream"
@@ -245,11 +246,12 @@
         try:
             await self._pump_events(attempt, relay_data, state)
         except (http_errors.UpstreamBrokeError, relay.MalformedStreamError) as error:
-            raise failures.AttemptFailedError(str(error)) from error
+            closed = isinstance(error, http_errors.UpstreamClosedError)
+            raise failures.AttemptFailedError(str(error), closed=closed) from error
         finally:
             attempt.close()
         if events.has_partial_event:
-            raise failures.AttemptFailedError("stream ended within an event")
+            raise failures.AttemptFailedError("stream ended within an event", closed=True)
         if events.event_count == 0:
             begin_response()
             events.write_comments()
@@ -277,7 +279,8 @@
         try:
             body = await attempt.answer.read(None, MAX_RESPONSE_BYTES)
         except http_errors.UpstreamBrokeError as error:
-            raise failures.AttemptFailedError(str(error)) from error
+            closed = isinstance(error, http_errors.UpstreamClosedError)
+            raise failures.AttemptFailedError(str(error), closed=closed) from error
         finally:
             attempt.close()
         return message.Response(attempt.head.status, attempt.head.headers, body)
@@ -378,6 +381,7 @@
                 ),
                 "load_age_s": state.load_age_seconds and round(state.load_age_seconds, 2),
                 "tokens": state.caller_request.total_tokens,
+                "parts": state.shared_part_ids[: requeststate.MAX_LOGGED_PARTS],
                 "first_ms": round((first_event_at - arrived_at) * 1e3, 1),
                 "pause_ms": round(state.longest_pause_seconds * 1e3, 1),
             }
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -6,7 +6,10 @@
 from coltsfoothead.daemon.http import message
 from coltsfoothead.kernel.traffic import document, placement
 
-__all__ = ["RequestState"]
+__all__ = ["MAX_LOGGED_PARTS", "RequestState"]
+
+# Parts of a prompt in a log line; a caller may send hundreds.
+MAX_LOGGED_PARTS = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,6 +38,8 @@
         Time since the load of the other entries was received, when the upstream was chosen.
     first_event_at, last_event_at : float or None
         Event loop times at which events were written to the caller.
+    attempt_began_at : float or None
+        Event loop time of the first event that the current attempt brought.
     may_have_run : bool
         Whether an upstream may have begun to run the request.
     usage_counted : bool
@@ -64,6 +69,7 @@
     load_age_seconds: float | None = None
     first_event_at: float | None = None
     last_event_at: float | None = None
+    attempt_began_at: float | None = None
     longest_pause_seconds: float = 0.0
 
     @property
@@ -71,6 +77,11 @@
         """Name of the organisation, or None for a request without one."""
         return self.organisation.name if self.organisation is not None else None
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """IDs of the prompt's parts that other requests may share, in order."""
+        return tuple(part.id for part in self.caller_request.parts[:-1])
+
     @property
     def unread_tokens(self) -> int:
         """Prompt tokens that an upstream without the shared prefix has to process."""
@@ -99,6 +110,8 @@
 
     def record_event_written(self, now: float) -> None:
         """Records that events were written to the caller at event loop time `now`."""
+        if self.attempt_began_at is None:
+            self.attempt_began_at = now
         if self.last_event_at is not None:
             pause = now - self.last_event_at
             self.longest_pause_seconds = max(self.longest_pause_seconds, pause)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -117,6 +117,7 @@
         state.upstream_load = chosen.load
         state.load_age_seconds = self.loads.other_loads_age_seconds(clock.steady())
         state.excluded_upstreams.add(upstream.id)
+        state.attempt_began_at = None
         unread_tokens = 0
         if prompt is not None:
             unread_tokens = prompt.own_tokens + prompt.missing_tokens(upstream)
@@ -149,7 +150,7 @@
         RefusedError
             If no further attempt may be made.
         """
-        self.record_failure(state, failure.cause, 0.3 if failure.not_run else 1.0)
+        self.record_failure(state, failure, 0.3 if failure.not_run else 1.0)
         if not failure.sent:
             if len(state.excluded_upstreams) < MAX_CONNECT_ATTEMPTS:
                 return
@@ -181,7 +182,12 @@
             and remaining_seconds >= MIN_RETRY_SECONDS
         )
 
-    def record_failure(self, state: requeststate.RequestState, cause: str, weight: float) -> None:
+    def record_failure(
+        self,
+        state: requeststate.RequestState,
+        failure: failures.AttemptFailedError,
+        weight: float,
+    ) -> None:
         """Records that the last attempt of a request failed at its upstream."""
         assert state.upstream_id is not None
         self.loads.record_failure(state.upstream_id, clock.steady(), weight)
@@ -190,7 +196,10 @@
             id=state.caller_request.id,
             upstream=state.upstream_id,
             sent=state.sent_count,
-            cause=cause,
+            cause=failure.cause,
+            closed=failure.closed,
+            began=state.attempt_began_at is not None,
+            parts=state.shared_part_ids[: requeststate.MAX_LOGGED_PARTS],
         )
 
     async def _send(
@@ -229,7 +238,8 @@
         except http_errors.ConnectError as error:
             raise failures.AttemptFailedError(str(error), sent=False, not_run=True) from error
         except http_errors.UpstreamBrokeError as error:
-            raise failures.AttemptFailedError(str(error)) from error
+            closed = isinstance(error, http_errors.UpstreamClosedError)
+            raise failures.AttemptFailedError(str(error), closed=closed) from error
         if self._dialect.decode_response_head(answer.status, answer.headers).not_run:
             state.may_have_run = might_have_run
         return answer
--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -99,7 +99,10 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the body; after a connection error no further events are parsed."""
         if error is not None:
-            self._failure = errors.UpstreamBrokeError(str(error))
+            # Other errors of the network do not tell what became of the upstream.
+            closed = isinstance(error, ConnectionError)
+            kind = errors.UpstreamClosedError if closed else errors.UpstreamBrokeError
+            self._failure = kind(str(error))
         self._handle_end()
         self.resume_writing()
 
@@ -126,7 +129,7 @@
     async def send(self, data: bytes) -> None:
         """Writes data and waits while the server reads too slowly."""
         if self._transport.is_closing():
-            raise self._failure or errors.UpstreamBrokeError("connection is closed")
+            raise self._failure or errors.UpstreamClosedError("connection is closed")
         self._transport.write(data)
         if self._write_resumed is not None:
             await self._write_resumed
@@ -138,7 +141,8 @@
         try:
             return self.protocol.next_event()
         except h11.RemoteProtocolError as error:
-            raise errors.UpstreamBrokeError(f"malformed answer: {error}") from error
+            kind = errors.UpstreamClosedError if self.ended else errors.UpstreamBrokeError
+            raise kind(f"malformed answer: {error}") from error
 
     async def receive(self, timeout_seconds: float | None) -> None:
         """Waits for input since the last call; a closed connection shows in the next event."""
@@ -153,7 +157,7 @@
         """Parses the data after a complete response as another response to the sent request."""
         surplus_bytes, closed = self.protocol.trailing_data
         if self.protocol.their_state is not h11.DONE:
-            raise errors.UpstreamBrokeError("connection closed before the answer")
+            raise errors.UpstreamClosedError("connection closed before the answer")
         self.protocol = h11.Connection(h11.CLIENT)
         # The real request was sent before; this one only brings the parser into the state in which
         # it accepts a response.
@@ -186,7 +190,7 @@
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
-                raise errors.UpstreamBrokeError("connection closed before the answer")
+                raise errors.UpstreamClosedError("connection closed before the answer")
         raise errors.UpstreamBrokeError("too many informational responses")
 
     async def _next_head_event(self, timeout_seconds: float | None) -> object:
@@ -294,7 +298,7 @@
             event = self.next_buffered_event()
         complete = type(event) is h11.EndOfMessage
         if not complete and event is not h11.NEED_DATA:
-            raise errors.UpstreamBrokeError("connection closed in the middle of the body")
+            raise errors.UpstreamClosedError("connection closed in the middle of the body")
         return b"".join(parts), complete
 
 
@@ -342,7 +346,7 @@
                     self._client.release(self._address, connection)
                     return
                 case _:
-                    raise errors.UpstreamBrokeError("connection closed in the middle of the body")
+                    raise errors.UpstreamClosedError("connection closed in the middle of the body")
 
     async def pump(
         self, sink: Callable[[bytes], bool | None], silence_seconds: float | None
--- a/packages/daemon/src/coltsfoothead/daemon/http/errors.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/errors.py
@@ -12,6 +12,7 @@
     "ReceiveTimeoutError",
     "SilentUpstreamError",
     "UpstreamBrokeError",
+    "UpstreamClosedError",
 ]
 
 
@@ -47,5 +48,9 @@
     """The connection or the response failed after bytes may have been sent."""
 
 
+class UpstreamClosedError(UpstreamBrokeError):
+    """The upstream closed or reset the connection before its response was complete."""
+
+
 class SilentUpstreamError(UpstreamBrokeError):
     """No data arrived on the connection within the read timeout."""
