Quarantine prompt parts on which upstreams crash

Cause: no part of the system attributed the end of an upstream to what it was running. Each entry saw single broken connections, at most one or two per part, and forwarded the next request with the part. Class of fault: a fact that every entry needs within a bounded time, but that no single one can see. Change: entries report crashes, and the starts of answers on suspected parts, with each exchange; the leader quarantines a part after three crashes without an answer in between. Reports are totals with ages, so that a new leader learns them with the next exchange; states are numbered, so that a stale report does not undo a release. Single probes, granted by the leader, end a quarantine. Ruled out: retries of the entries as the cause (they double the crashes only); a lower limit for one crash (parts that wait beside the culprit share it); blaming parts of requests reset one by one by a faulty upstream (its other connections stay open).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -3,7 +3,14 @@
 import random
 from collections.abc import Callable
 
-from coltsfoothead.daemon.gateway import allowances, documentcopy, failures, ports, requeststate
+from coltsfoothead.daemon.gateway import (
+    allowances,
+    documentcopy,
+    failures,
+    ports,
+    promptguard,
+    requeststate,
+)
 from coltsfoothead.daemon.http import message
 from coltsfoothead.kernel.traffic import document, placement, quota, routetable
 
@@ -35,6 +42,7 @@
     ----------
     documents : DocumentCopy
     quota_allowances : Allowances
+    guard : PromptGuard
     rng : random.Random
     """
 
@@ -42,10 +50,12 @@
         self,
         documents: documentcopy.DocumentCopy,
         quota_allowances: allowances.Allowances,
+        guard: promptguard.PromptGuard,
         rng: random.Random,
     ) -> None:
         self._documents = documents
         self._allowances = quota_allowances
+        self._guard = guard
         self._rng = rng
         self._stopped = False
 
@@ -104,6 +114,7 @@
             scaling.boot_seconds if scaling is not None else None,
         )
         on_routed(state)
+        self._guard.ensure_admissible(state.shared_part_ids)
         await self._charge_quota(state)
         return state
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -43,7 +43,7 @@
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
-from coltsfoothead.kernel.traffic import quota
+from coltsfoothead.kernel.traffic import quarantine, quota
 
 __all__ = ["Control"]
 
@@ -108,6 +108,7 @@
         self._documents = documentcopy.DocumentCopy(dialect, self._events)
         self._directory = directory.DirectoryCopy()
         self._plans = planstore.PlanStore()
+        self._quarantines = quarantine.QuarantineTable()
         self._servers: list[server.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -136,6 +137,7 @@
             quota.Tolerance(self._settings.quotas.overage, self._settings.quotas.slack),
             self._formation.live_controls,
             self._plans,
+            self._quarantines,
             self._events,
         )
         self._proposer = proposer.Proposer(
@@ -242,6 +244,9 @@
         async def draw(sender: str, payload: bytes) -> bytes:
             return exchange.encode(self._terms.answer_draw(exchange.decode_draw_request(payload)))
 
+        async def probe(sender: str, payload: bytes) -> bytes:
+            return exchange.encode(self._terms.answer_probe(exchange.decode_probe_request(payload)))
+
         async def announce(sender: str, payload: bytes) -> bytes:
             return b"1" if await self._api.announce_as_leader(payload) else b""
 
@@ -253,6 +258,7 @@
 
         self._links.serve(exchange.SYNC, sync)
         self._links.serve(exchange.DRAW, draw)
+        self._links.serve(exchange.PROBE, probe)
         self._links.serve(exchange.ANNOUNCE, announce)
         self._links.serve(exchange.JOIN, join)
         self._links.serve(controlapi.READ, read)
@@ -287,7 +293,7 @@
             self._documents,
             self._directory,
             self._report,
-            lambda answer: self._plans.receive(answer.plans, clock.steady()),
+            self._apply_answer,
             self._events,
             self._metrics,
         )
@@ -351,6 +357,11 @@
                 self._link.set_leader(self._terms.leader_address())
             await asyncio.sleep(formation.CHECK_INTERVAL_SECONDS)
 
+    def _apply_answer(self, answer: exchange.Answer) -> None:
+        now = clock.steady()
+        self._plans.receive(answer.plans, now)
+        self._quarantines.merge(answer.parts.quarantines, now)
+
     def _report(self, poll: lease.PollRequest, version: tuple[str, int]) -> exchange.Report:
         return exchange.Report(
             f"{self._identity.replica}/{self._identity.start}",
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -22,8 +22,10 @@
     forwarding,
     leaderlink,
     leadersync,
+    loads,
     metricspage,
     ports,
+    promptguard,
     sending,
     settings,
 )
@@ -89,7 +91,11 @@
         self._documents = documentcopy.DocumentCopy(document_dialect, self._events)
         self._directory = directory.DirectoryCopy()
         self._allowances = allowances.Allowances(self._rng, self._draw)
-        self._admission = admission.Admission(self._documents, self._allowances, self._rng)
+        tracker = loads.LoadTracker()
+        self._guard = promptguard.PromptGuard(tracker, self._request_probe, self._events, self._rng)
+        self._admission = admission.Admission(
+            self._documents, self._allowances, self._guard, self._rng
+        )
         retry_limits = configured.repeats
         self._retry_budget = repeats.RetryBudget(
             retry_limits.ratio, retry_limits.fixed, retry_limits.window_seconds
@@ -104,6 +110,8 @@
             self._retry_budget,
             self._admission,
             registry.resolve("placement", configured.placement.policy)(),
+            tracker,
+            self._guard,
             self._events,
             self._rng,
         )
@@ -224,6 +232,7 @@
             usage={number: dict(counts) for number, counts in self._usage.counts.items()},
             demand=self._forwarder.demand(),
             reads=self._sender.loads.pop_prefix_reads(),
+            parts=self._guard.report(),
         )
 
     async def _draw(self, organisation: str, amount: float) -> bool | None:
@@ -241,6 +250,19 @@
         self._metrics.count(f"quota_draws_{_DRAW_OUTCOMES[granted]}")
         return granted
 
+    async def _request_probe(self, part_id: str) -> bool | None:
+        """Asks the leader whether a request may probe a part; None if no leader answers."""
+        leader = self._link.leader
+        if leader is None:
+            return None
+        payload = exchange.encode(exchange.ProbeRequest(part_id))
+        try:
+            answer = await self._link.call(leader, exchange.PROBE, payload, DRAW_TIMEOUT_SECONDS)
+            return exchange.decode_probe_response(answer).given
+        except (leaderlink.LeaderUnreachableError, msgspec.MsgspecError) as error:
+            self._events.write("probe_not_granted", part=part_id, cause=str(error))
+            return None
+
     def _apply_answer(self, answer: exchange.Answer) -> None:
         self._allowances.renew(answer.allowances, clock.steady())
         now = clock.steady()
@@ -248,6 +270,7 @@
         for prefix_id, upstream_id in answer.reads:
             self._sender.loads.add_prefix_holder(prefix_id, upstream_id, now)
         self._sender.set_entry_count(answer.entries)
+        self._guard.receive(answer.parts)
         table = self._documents.table
         if table is not None and table.routing.limits != self._caller_limits:
             self._caller_limits = table.routing.limits
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -3,12 +3,20 @@
 import msgspec
 
 from coltsfoothead.coordination.configuration import lease
-from coltsfoothead.kernel.traffic import demandmeter, placement, quota, runnerplan, upstreams
+from coltsfoothead.kernel.traffic import (
+    demandmeter,
+    placement,
+    quarantine,
+    quota,
+    runnerplan,
+    upstreams,
+)
 
 __all__ = [
     "ANNOUNCE",
     "DRAW",
     "JOIN",
+    "PROBE",
     "SYNC",
     "Announcement",
     "Answer",
@@ -18,6 +26,8 @@
     "JoinResponse",
     "JoinRequest",
     "NotLeading",
+    "ProbeRequest",
+    "ProbeResponse",
     "Report",
     "WithdrawnUpstream",
     "decode_answer",
@@ -26,6 +36,8 @@
     "decode_draw_response",
     "decode_join_response",
     "decode_join_request",
+    "decode_probe_request",
+    "decode_probe_response",
     "decode_report",
     "encode",
 ]
@@ -34,6 +46,7 @@
 ANNOUNCE = "gateway.announce"
 JOIN = "gateway.join"
 DRAW = "gateway.draw"
+PROBE = "gateway.probe"
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -63,6 +76,8 @@
     reads : tuple of (str, str)
         IDs of shared prompt parts and of the upstreams that read (prefilled) them since the last
         report.
+    parts : PartReport
+        Crashes of upstreams by prompt part, and the quarantines that the sender knows.
     """
 
     sender: str
@@ -76,6 +91,7 @@
     usage: dict[int, dict[str, int]] = {}
     demand: dict[str, demandmeter.DemandRates] = {}
     reads: tuple[tuple[str, str], ...] = ()
+    parts: quarantine.PartReport = quarantine.PartReport()
 
 
 class DirectoryUpdate(msgspec.Struct, frozen=True):
@@ -119,6 +135,8 @@
     plans : dict of str to PlanState
         State of the runner plan of each service. Only control followers get it, so that the next
         leader can continue the plans.
+    parts : PartDecisions
+        Quarantined prompt parts.
     """
 
     poll: lease.PollAnswer
@@ -129,6 +147,7 @@
     controls: tuple[str, ...]
     reads: tuple[tuple[str, str], ...] = ()
     plans: dict[str, runnerplan.PlanState] = {}
+    parts: quarantine.PartDecisions = quarantine.PartDecisions()
 
 
 class NotLeading(msgspec.Struct, frozen=True, tag=True):
@@ -182,6 +201,18 @@
     given: bool | None
 
 
+class ProbeRequest(msgspec.Struct, frozen=True):
+    """Request of an entry to probe a prompt part whose quarantine has run out."""
+
+    part_id: str
+
+
+class ProbeResponse(msgspec.Struct, frozen=True):
+    """Answer to a probe request; `given` is None if the called process is not the leader."""
+
+    given: bool | None
+
+
 class JoinRequest(msgspec.Struct, frozen=True):
     """Heartbeat of a control process that hosts, or wants to host, a replica of the control log."""
 
@@ -235,5 +266,7 @@
 decode_answer = msgspec.msgpack.Decoder(Answer | NotLeading).decode
 decode_draw_request = msgspec.msgpack.Decoder(DrawRequest).decode
 decode_draw_response = msgspec.msgpack.Decoder(DrawResponse).decode
+decode_probe_request = msgspec.msgpack.Decoder(ProbeRequest).decode
+decode_probe_response = msgspec.msgpack.Decoder(ProbeResponse).decode
 decode_join_response = msgspec.msgpack.Decoder(JoinResponse).decode
 decode_join_request = msgspec.msgpack.Decoder(JoinRequest).decode
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -175,6 +175,8 @@
                 self._sender.record_failure(state, failure, 0.3)
                 continue
             self._count_usage(state)
+            if response.status < 300:
+                self._sender.guard.record_answer(state)
             await caller.respond(response)
             return "upstream_error" if failed else "answered"
 
@@ -211,6 +213,8 @@
                 )
                 caller.abort()
                 return "broken_by_upstream"
+            if state.attempt_began_at is not None:
+                self._sender.guard.record_answer(state)
             await caller.end()
             return "answered"
 
@@ -240,7 +244,9 @@
                 attempt.tracked.mark_started()
             progressed = events.event_count > count_before
             if progressed:
-                state.record_event_written(asyncio.get_running_loop().time())
+                now = asyncio.get_running_loop().time()
+                state.record_event_written(now)
+                self._sender.guard.record_progress(state, now)
             return progressed
 
         try:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -5,7 +5,14 @@
 
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.gateway import directory, exchange
-from coltsfoothead.kernel.traffic import demandmeter, document, placement, quota, usage
+from coltsfoothead.kernel.traffic import (
+    demandmeter,
+    document,
+    placement,
+    quarantine,
+    quota,
+    usage,
+)
 
 __all__ = ["Leadership"]
 
@@ -46,6 +53,8 @@
         long.
     tolerance : Tolerance
         By how much quotas may be exceeded.
+    quarantines : QuarantineTable
+        Quarantines of prompt parts, also those of earlier terms.
     """
 
     def __init__(
@@ -53,8 +62,10 @@
         upstream_directory: directory.Directory,
         lease_seconds: float,
         tolerance: quota.Tolerance,
+        quarantines: quarantine.QuarantineTable,
     ) -> None:
         self._directory = upstream_directory
+        self.crash_attribution = quarantine.CrashAttribution(quarantines)
         self._tolerance = tolerance
         self._buckets: dict[str, quota.TokenBucket] = {}
         self._recent_reads: collections.deque[tuple[int, str, tuple[str, str]]] = collections.deque(
@@ -91,6 +102,7 @@
             elapsed_seconds = now - reporter.reported_at
             self._subtract_loads(reporter)
         reporter.report, reporter.reported_at = report, now
+        self.crash_attribution.record(report.parts, now)
         self._add_loads(reporter)
         for read in report.reads:
             self._last_read_number += 1
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/loads.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/loads.py
@@ -42,6 +42,7 @@
         """Removes the request from the load; may be called twice."""
         if self._active:
             self._active = False
+            self._loads.remove_request(self._upstream_id, self)
             waiting = placement.Load(0, -1, -self._tokens)
             load = waiting if self._awaits_first_event else placement.Load(-1)
             self._loads.add(self._upstream_id, load)
@@ -58,6 +59,7 @@
 
     def __init__(self) -> None:
         self._own_loads: dict[str, placement.Load] = {}
+        self._active_requests: dict[str, set[TrackedRequest]] = {}
         self._other_loads: Mapping[str, placement.Load] = {}
         self._others_received_at = float("-inf")
         self._failures: dict[str, _FailureRecord] = {}
@@ -95,7 +97,20 @@
         """
         load = placement.Load(0, 1, tokens) if awaits_first_event else placement.Load(1)
         self.add(upstream_id, load)
-        return TrackedRequest(self, upstream_id, tokens, awaits_first_event)
+        tracked = TrackedRequest(self, upstream_id, tokens, awaits_first_event)
+        self._active_requests.setdefault(upstream_id, set()).add(tracked)
+        return tracked
+
+    def active_requests(self, upstream_id: str) -> frozenset[TrackedRequest]:
+        """Returns this entry's requests in flight at an upstream."""
+        return frozenset(self._active_requests.get(upstream_id, ()))
+
+    def remove_request(self, upstream_id: str, tracked: TrackedRequest) -> None:
+        """Removes an ended request from those in flight."""
+        active = self._active_requests.get(upstream_id, set())
+        active.discard(tracked)
+        if not active:
+            self._active_requests.pop(upstream_id, None)
 
     def add(self, upstream_id: str, load: placement.Load) -> None:
         """Adds to this entry's load of an upstream; negative numbers reduce it."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -151,6 +151,7 @@
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
+    QUARANTINED = "quarantined"
     UPSTREAM_FAILED = "upstream_failed"
     TIMED_OUT = "timed_out"
 
--- /dev/null
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
@@ -0,0 +1,132 @@
+"""An entry's part in the quarantine of prompt parts on which upstreams crash."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from coltsfoothead.daemon.gateway import clock, eventlog, failures, loads, ports, requeststate
+from coltsfoothead.kernel.traffic import quarantine, upstreams
+
+__all__ = ["PromptGuard"]
+
+# An answer that breaks off within this time of its first event is a crash at its beginning.
+BEGINNING_SECONDS = 0.3
+# Time within which the other connections to an upstream that has crashed break off, too.
+CONFIRM_SECONDS = 0.1
+# Random part of the delay after which a caller whose prompt is quarantined should return.
+RETURN_SPREAD_SECONDS = 5.0
+
+
+class PromptGuard:
+    """Refuses requests with quarantined prompt parts, and observes on which parts upstreams crash.
+
+    Parameters
+    ----------
+    tracker : LoadTracker
+    request_probe : callable
+        Asks the leader whether a request may probe a part. Returns None if no leader answers.
+    events : EventLog
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        tracker: loads.LoadTracker,
+        request_probe: Callable[[str], Awaitable[bool | None]],
+        events: eventlog.EventLog,
+        rng: random.Random,
+    ) -> None:
+        self._loads = tracker
+        self._request_probe = request_probe
+        self._events = events
+        self._rng = rng
+        self._table = quarantine.QuarantineTable()
+        self._observer = quarantine.PartObserver(self._table)
+
+    def report(self) -> quarantine.PartReport:
+        """Returns the report for the leader."""
+        return self._observer.report(clock.steady())
+
+    def receive(self, decisions: quarantine.PartDecisions) -> None:
+        """Applies the leader's answer."""
+        for state in self._observer.receive(decisions, clock.steady()):
+            self._events.write(
+                "part_released" if state.released else "part_quarantined",
+                part=state.part_id,
+                revision=state.revision,
+                strikes=state.strikes,
+                seconds=round(state.remaining_seconds, 1),
+            )
+
+    def is_quarantined(self, part_ids: tuple[str, ...]) -> bool:
+        """Returns whether a prompt has a quarantined part; a probe of it is not repeated either."""
+        return self._table.active(part_ids, clock.steady()) is not None
+
+    def ensure_admissible(self, part_ids: tuple[str, ...]) -> None:
+        """Raises `RefusedError` if a part of a prompt is quarantined and may not be probed yet."""
+        state = self._table.active(part_ids, clock.steady())
+        if state is not None and state.remaining_seconds > 0:
+            raise self._refusal(state)
+
+    async def ensure_may_be_sent(self, state: requeststate.RequestState) -> None:
+        """Raises `RefusedError` if a part is quarantined and the leader does not allow a probe.
+
+        Called right before each attempt, since a part may have been quarantined while the request
+        waited.
+        """
+        held = self._table.active(state.shared_part_ids, clock.steady())
+        if held is None:
+            return
+        may_probe = not state.sent_count and held.remaining_seconds <= 0
+        if may_probe and await self._request_probe(held.part_id):
+            self._events.write("part_probed", id=state.caller_request.id, part=held.part_id)
+            return
+        if state.may_have_run:
+            refusal = ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
+            raise failures.RefusedError(refusal, _cause(held))
+        raise self._refusal(held)
+
+    def record_progress(self, state: requeststate.RequestState, now: float) -> None:
+        """Records that an attempt brought events at event loop time `now`."""
+        began_at = state.attempt_began_at
+        if state.attempt_sound or began_at is None or now - began_at < BEGINNING_SECONDS:
+            return
+        self.record_answer(state)
+
+    def record_answer(self, state: requeststate.RequestState) -> None:
+        """Records that an upstream answers a request, or has answered it."""
+        state.attempt_sound = True
+        self._observer.record_start(state.shared_part_ids, clock.steady())
+
+    def record_close(self, state: requeststate.RequestState, upstream: upstreams.Upstream) -> None:
+        """Records that an upstream closed the connection before it had answered.
+
+        It has crashed unless connections of earlier requests to it are still open soon after.
+        """
+        if state.attempt_sound or not state.shared_part_ids:
+            return
+        part_ids, closed_at = state.shared_part_ids, clock.steady()
+        others = self._loads.active_requests(upstream.id)
+
+        def confirm() -> None:
+            if others & self._loads.active_requests(upstream.id):
+                return
+            self._observer.record_crash(part_ids, f"{upstream.id}/{upstream.born}", closed_at)
+            self._events.write(
+                "upstream_crashed",
+                id=state.caller_request.id,
+                upstream=upstream.id,
+                parts=part_ids[: requeststate.MAX_LOGGED_PARTS],
+            )
+
+        asyncio.get_running_loop().call_later(CONFIRM_SECONDS, confirm)
+
+    def _refusal(self, held: quarantine.Quarantine) -> failures.RefusedError:
+        delay_seconds = max(0.0, held.remaining_seconds)
+        delay_seconds += self._rng.uniform(1.0, RETURN_SPREAD_SECONDS)
+        refusal = ports.Refusal(ports.RefusalReason.QUARANTINED, delay_seconds)
+        return failures.RefusedError(refusal, _cause(held))
+
+
+def _cause(held: quarantine.Quarantine) -> str:
+    return f"upstreams crash on prompt part {held.part_id}; quarantine {held.strikes}"
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -40,6 +40,8 @@
         Event loop times at which events were written to the caller.
     attempt_began_at : float or None
         Event loop time of the first event that the current attempt brought.
+    attempt_sound : bool
+        Whether the current attempt has got past the beginning of its answer.
     may_have_run : bool
         Whether an upstream may have begun to run the request.
     usage_counted : bool
@@ -70,6 +72,7 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     attempt_began_at: float | None = None
+    attempt_sound: bool = False
     longest_pause_seconds: float = 0.0
 
     @property
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -15,6 +15,7 @@
     failures,
     loads,
     ports,
+    promptguard,
     requeststate,
 )
 from coltsfoothead.daemon.http import client as http_client
@@ -64,6 +65,8 @@
         Makes the refusals that tell a caller when to retry.
     policy : Policy
         Placement policy that chooses among the upstreams.
+    tracker : LoadTracker
+    guard : PromptGuard
     events : EventLog
     rng : random.Random
     """
@@ -78,6 +81,8 @@
         retry_budget: repeats.RetryBudget,
         request_admission: admission.Admission,
         policy: placement.Policy,
+        tracker: loads.LoadTracker,
+        guard: promptguard.PromptGuard,
         events: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
@@ -92,7 +97,8 @@
         self._rng = rng
         self._policy = policy
         self._entry_count = 1
-        self.loads = loads.LoadTracker()
+        self.loads = tracker
+        self.guard = guard
         directory_copy.add_listener(self._on_upstream_change)
 
     def set_entry_count(self, entry_count: int) -> None:
@@ -107,17 +113,20 @@
         Raises
         ------
         RefusedError
-            If there is no upstream, or all of them are overloaded.
+            If there is no upstream, if all of them are overloaded, or if a part of the prompt is
+            quarantined.
         AttemptFailedError
             If the upstream cannot be reached, breaks the connection, or refuses the request.
         """
         chosen, prompt = await self._select_upstream(state)
+        await self.guard.ensure_may_be_sent(state)
         upstream = chosen.upstream
         state.upstream_id = upstream.id
         state.upstream_load = chosen.load
         state.load_age_seconds = self.loads.other_loads_age_seconds(clock.steady())
         state.excluded_upstreams.add(upstream.id)
         state.attempt_began_at = None
+        state.attempt_sound = False
         unread_tokens = 0
         if prompt is not None:
             unread_tokens = prompt.own_tokens + prompt.missing_tokens(upstream)
@@ -180,6 +189,7 @@
             (not_run or state.route.idempotent)
             and state.sent_count < state.route.max_upstreams
             and remaining_seconds >= MIN_RETRY_SECONDS
+            and not self.guard.is_quarantined(state.shared_part_ids)
         )
 
     def record_failure(
@@ -191,6 +201,9 @@
         """Records that the last attempt of a request failed at its upstream."""
         assert state.upstream_id is not None
         self.loads.record_failure(state.upstream_id, clock.steady(), weight)
+        upstream = self._directory.records.get(state.upstream_id)
+        if failure.closed and upstream is not None:
+            self.guard.record_close(state, upstream)
         self._events.write(
             "attempt_failed",
             id=state.caller_request.id,
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -16,7 +16,7 @@
     leadership,
     planstore,
 )
-from coltsfoothead.kernel.traffic import quota
+from coltsfoothead.kernel.traffic import quarantine, quota
 
 __all__ = ["ENDED_PREFIX", "TermManager"]
 
@@ -49,6 +49,8 @@
     live_controls : callable
         Returns the peer addresses of the live control processes.
     plans : PlanStore
+    quarantines : QuarantineTable
+        This process's copy of the quarantines.
     events : EventLog
     """
 
@@ -64,6 +66,7 @@
         tolerance: quota.Tolerance,
         live_controls: Callable[[], list[str]],
         plans: planstore.PlanStore,
+        quarantines: quarantine.QuarantineTable,
         events: eventlog.EventLog,
     ) -> None:
         self._logs = logs
@@ -76,6 +79,7 @@
         self._tolerance = tolerance
         self._live_controls = live_controls
         self._plans = plans
+        self._quarantines = quarantines
         self._events = events
         self._current: leadership.Leadership | None = None
         self._term_number = 0
@@ -120,6 +124,7 @@
                 confirmed_at = now
                 await self._confirm_leadership(now)
             self._expire_silent(now)
+            self._attribute_crashes(now)
 
     def answer_report(self, report: exchange.Report) -> exchange.Answer | exchange.NotLeading:
         """Answers a report of an entry or a control follower."""
@@ -143,6 +148,7 @@
             tuple(self._live_controls()),
             term.new_reads(report.sender) if report.entry else (),
             {} if report.entry else self._plans.states(now),
+            term.crash_attribution.decisions(now),
         )
 
     def answer_draw(self, request: exchange.DrawRequest) -> exchange.DrawResponse:
@@ -152,6 +158,13 @@
             return exchange.DrawResponse(None)
         return exchange.DrawResponse(term.draw(request, now))
 
+    def answer_probe(self, request: exchange.ProbeRequest) -> exchange.ProbeResponse:
+        """Answers an entry's request to probe a prompt part."""
+        term, now = self.current, clock.steady()
+        if term is None or not term.lease.valid(now):
+            return exchange.ProbeResponse(None)
+        return exchange.ProbeResponse(term.crash_attribution.grant_probe(request.part_id, now))
+
     def _begin_term(self, term_number: int) -> None:
         self._term_number = term_number
         now = clock.steady()
@@ -160,7 +173,9 @@
         upstreams = directory.Directory(
             leadership_id, self._announcement_interval_seconds, inherited, now
         )
-        self._current = leadership.Leadership(upstreams, self._lease_seconds, self._tolerance)
+        self._current = leadership.Leadership(
+            upstreams, self._lease_seconds, self._tolerance, self._quarantines
+        )
         self._tombstones_added = False
         self._events.write("leading", term=term_number, upstreams=len(inherited))
 
@@ -201,6 +216,17 @@
         remaining = term.lease.remaining(clock.steady())
         self._documents.receive(lease.answer_poll(poll, remaining, state))
 
+    def _attribute_crashes(self, now: float) -> None:
+        assert self._current is not None
+        for state in self._current.crash_attribution.evaluate(now):
+            self._events.write(
+                "part_released" if state.released else "part_quarantined",
+                part=state.part_id,
+                revision=state.revision,
+                strikes=state.strikes,
+                seconds=round(state.remaining_seconds, 1),
+            )
+
     def _expire_silent(self, now: float) -> None:
         assert self._current is not None
         for lost in self._current.directory.expire(now):
--- a/packages/daemon/tests/test_leadership.py
+++ b/packages/daemon/tests/test_leadership.py
@@ -5,7 +5,7 @@
 
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.gateway import directory, exchange, leadership
-from coltsfoothead.kernel.traffic import document, placement, quota
+from coltsfoothead.kernel.traffic import document, placement, quarantine, quota
 
 ORGANISATION = document.Organisation("film", (), None, document.Quota(100.0, 200.0, True))
 
@@ -19,7 +19,9 @@
 class LeadershipTest(unittest.TestCase):
     def setUp(self):
         upstreams = directory.Directory("a/1", 1.0, {}, 0.0)
-        self.term = leadership.Leadership(upstreams, 4.0, quota.Tolerance())
+        self.term = leadership.Leadership(
+            upstreams, 4.0, quota.Tolerance(), quarantine.QuarantineTable()
+        )
 
     def test_reads_reach_every_other_entry_once(self):
         """Guards against entries that do not know which upstream holds a prompt part.
