Keep quarantines of prompt parts through a restart of all processes

Callers would see: after a loss of power of all processes, one back end after the other ends again. Cause: quarantines were held in the memory of entries and control processes only. Change: the leader writes each change of a quarantine to a write-once register of the control log, and a new leader reads them after its first read barrier, before it answers an entry. Ruled out: files at the entries, which have no disk.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -38,6 +38,7 @@
     metricspage,
     planstore,
     ports,
+    quarantinelog,
     settings,
     termmanager,
 )
@@ -126,6 +127,18 @@
         usage_retention_seconds = (
             self._settings.usage.due_seconds + 2 * self._settings.usage.window_seconds
         )
+        self._proposer = proposer.Proposer(
+            self._logs,
+            self._links,
+            self._identity.replica,
+            lambda: list(self._logs.tasks[loghost.CONTROL].status().voters),
+            PROPOSAL_TIMEOUT_SECONDS,
+            clock.steady,
+            self._rng,
+        )
+        self._quarantine_log = quarantinelog.QuarantineLog(
+            self._logs, self._proposer, self._quarantines, self._events
+        )
         self._terms = termmanager.TermManager(
             self._logs,
             self._documents,
@@ -138,17 +151,10 @@
             self._formation.live_controls,
             self._plans,
             self._quarantines,
+            self._quarantine_log.load,
+            self._quarantine_log.record,
             self._events,
         )
-        self._proposer = proposer.Proposer(
-            self._logs,
-            self._links,
-            self._identity.replica,
-            lambda: list(self._logs.tasks[loghost.CONTROL].status().voters),
-            PROPOSAL_TIMEOUT_SECONDS,
-            clock.steady,
-            self._rng,
-        )
         self._register_peer_methods()
         await self._links.start()
         await self._logs.start()
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -51,6 +51,10 @@
     plans : PlanStore
     quarantines : QuarantineTable
         This process's copy of the quarantines.
+    load_quarantines : callable
+        Merges the quarantines that the log holds into this process's copy.
+    record_quarantine : callable
+        Starts to write a quarantine to the log.
     events : EventLog
     """
 
@@ -67,6 +71,8 @@
         live_controls: Callable[[], list[str]],
         plans: planstore.PlanStore,
         quarantines: quarantine.QuarantineTable,
+        load_quarantines: Callable[[], None],
+        record_quarantine: Callable[[quarantine.Quarantine], None],
         events: eventlog.EventLog,
     ) -> None:
         self._logs = logs
@@ -80,11 +86,13 @@
         self._live_controls = live_controls
         self._plans = plans
         self._quarantines = quarantines
+        self._load_quarantines = load_quarantines
+        self._record_quarantine = record_quarantine
         self._events = events
         self._current: leadership.Leadership | None = None
         self._term_number = 0
-        # Whether the current directory holds the ended upstreams that the log records.
-        self._tombstones_added = False
+        # Whether the current term has taken over what the log records beside the documents.
+        self._log_read = False
 
     @property
     def current(self) -> leadership.Leadership | None:
@@ -176,7 +184,7 @@
         self._current = leadership.Leadership(
             upstreams, self._lease_seconds, self._tolerance, self._quarantines
         )
-        self._tombstones_added = False
+        self._log_read = False
         self._events.write("leading", term=term_number, upstreams=len(inherited))
 
     def _end_term(self) -> None:
@@ -194,10 +202,11 @@
         except coordination_errors.CoordinationError as error:
             self._events.write("leadership_not_confirmed", term=self._term_number, cause=str(error))
             return
-        if not self._tombstones_added:
+        if not self._log_read:
             # Before the barrier, this process may not have applied all entries of its log.
-            self._tombstones_added = True
+            self._log_read = True
             self._add_tombstones(term.directory)
+            self._load_quarantines()
         term.lease.extend(started_at)
         self._refresh_document(term, started_at)
 
@@ -219,6 +228,7 @@
     def _attribute_crashes(self, now: float) -> None:
         assert self._current is not None
         for state in self._current.crash_attribution.evaluate(now):
+            self._record_quarantine(state)
             self._events.write(
                 "part_released" if state.released else "part_quarantined",
                 part=state.part_id,
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/quarantine.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/quarantine.py
@@ -45,6 +45,8 @@
 PROBE_TIMEOUT_SECONDS = 20.0
 # Time after which a released quarantine, or one without requests, is forgotten.
 RECORD_RETENTION_SECONDS = 600.0
+# Parts with longer IDs are not observed.
+MAX_PART_ID_LENGTH = 128
 # Bounds of the memory and messages that callers can cause.
 MAX_OBSERVED_PARTS = 4096
 MAX_REPORTED_CRASHES = 256
@@ -213,7 +215,8 @@
     def record_crash(self, part_ids: Iterable[str], upstream: str, now: float) -> None:
         """Records the crash of an upstream before its answer on the parts had begun."""
         for part_id in part_ids:
-            self._crashes.setdefault((part_id, upstream), now)
+            if len(part_id) <= MAX_PART_ID_LENGTH:
+                self._crashes.setdefault((part_id, upstream), now)
         while len(self._crashes) > MAX_REPORTED_CRASHES:
             self._crashes.popitem(last=False)
 
