Treat an unframed stream without an event as broken off

Callers would see: 200 with an empty body, complete by its framing, where the runner had crashed right after the head of its answer. Cause: a body without length or chunks is complete when its connection ends, and a stream without events was passed on as an answer. Change: such a stream has failed, closed by its upstream; it counts as a crash on the prompt's parts. Ruled out: framed streams without events, which a runner may end on purpose, are still passed on.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -258,6 +258,8 @@
             attempt.close()
         if events.has_partial_event:
             raise failures.AttemptFailedError("stream ended within an event", closed=True)
+        if state.attempt_began_at is None and not attempt.answer.framed:
+            raise failures.AttemptFailedError("stream ended before its first event", closed=True)
         if events.event_count == 0:
             begin_response()
             events.write_comments()
--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -317,6 +317,12 @@
             for name, value in head.headers
         )
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body has a length or chunks; otherwise the connection's end completes it."""
+        names = {name for name, _ in self.headers}
+        return bool(names & {"content-length", "transfer-encoding"})
+
     async def chunks(self, silence_seconds: float | None) -> AsyncIterator[bytes]:
         """Yields parts of the body.
 
