Log the request limits that upstreams name

Cause looked for: no line showed that an upstream had named a limit, so that the logs could not tell whether entries do not know it, or each keeps to it alone. No decision changes.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -128,6 +128,9 @@
         ID of the request that the response answers, if the upstream sends it.
     headers : tuple of (str, str)
         Headers that are passed on to the caller.
+    requests_per_second : float or None
+        Limit of the requests that the upstream accepts from all entries together, while it names
+        one.
     """
 
     status: int
@@ -135,6 +138,7 @@
     misdirected: bool
     request_id: str | None
     headers: tuple[tuple[str, str], ...]
+    requests_per_second: float | None = None
 
 
 class RefusalReason(enum.Enum):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -97,6 +97,7 @@
         self._rng = rng
         self._policy = policy
         self._entry_count = 1
+        self._named_limits: dict[str, float | None] = {}
         self.loads = tracker
         self.guard = guard
         directory_copy.add_listener(self._on_upstream_change)
@@ -139,6 +140,7 @@
             tracked.end()
             raise
         head = self._dialect.decode_response_head(answer.status, answer.headers)
+        self._log_limit(upstream.id, head.requests_per_second)
         if not head.not_run:
             return Attempt(upstream.id, answer, head, tracked)
         answer.close()
@@ -149,6 +151,11 @@
             f"upstream refused the request with status {head.status}", not_run=True
         )
 
+    def _log_limit(self, upstream_id: str, requests_per_second: float | None) -> None:
+        if requests_per_second != self._named_limits.get(upstream_id):
+            self._named_limits[upstream_id] = requests_per_second
+            self._events.write("upstream_limit", upstream=upstream_id, rate=requests_per_second)
+
     def ensure_retry(
         self, state: requeststate.RequestState, failure: failures.AttemptFailedError
     ) -> None:
@@ -384,3 +391,4 @@
         )
         if upstream.state is upstreams.State.GONE:
             self.loads.remove_upstream(upstream.id)
+            self._named_limits.pop(upstream.id, None)
