Keep the request limits that upstreams name, over all entries together

Cause: the rate in the head of an answer was forwarded to callers and read by no decision. Change: entries report the rates they heard, with their age; the leader divides each rate among as many entries as get one request a second each, and the others send nothing there. All processes keep what is known, so that a change of leader or a restarted entry changes nothing. An entry with a share asks the upstream at least every 3 s, which shows the end of the need; then all use it again with the next exchange. Requests are refused at once if all upstreams of a service are at their limits. Ruled out: a share for every entry (with 90 entries their first requests alone exceed the rate); clearing a limit by failed or refused answers, which may come from another path of the upstream.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -44,7 +44,7 @@
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
-from coltsfoothead.kernel.traffic import quarantine, quota
+from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits
 
 __all__ = ["Control"]
 
@@ -110,6 +110,7 @@
         self._directory = directory.DirectoryCopy()
         self._plans = planstore.PlanStore()
         self._quarantines = quarantine.QuarantineTable()
+        self._limits = requestlimits.LimitTable()
         self._servers: list[server.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -151,6 +152,7 @@
             self._formation.live_controls,
             self._plans,
             self._quarantines,
+            self._limits,
             self._quarantine_log.load,
             self._quarantine_log.record,
             self._events,
@@ -367,6 +369,7 @@
         now = clock.steady()
         self._plans.receive(answer.plans, now)
         self._quarantines.merge(answer.parts.quarantines, now)
+        self._limits.merge((each.limit for each in answer.limits), now)
 
     def _report(self, poll: lease.PollRequest, version: tuple[str, int]) -> exchange.Report:
         return exchange.Report(
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -122,6 +122,11 @@
         known = self._records.get(upstream_id)
         return known.upstream.born if known is not None else 0
 
+    def zone_of(self, upstream_id: str) -> str | None:
+        """Returns the zone of an upstream, or None if it is not known."""
+        known = self._records.get(upstream_id)
+        return known.upstream.zone if known is not None else None
+
     def expire(self, now: float) -> list[upstreams.Upstream]:
         """Marks silent upstreams as lost, removes old tombstones; returns the lost ones."""
         lost = []
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -32,7 +32,7 @@
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import message, server
 from coltsfoothead.kernel import registry
-from coltsfoothead.kernel.traffic import document, repeats, usage
+from coltsfoothead.kernel.traffic import document, repeats, requestlimits, usage
 
 __all__ = ["Entry"]
 
@@ -92,6 +92,7 @@
         self._directory = directory.DirectoryCopy()
         self._allowances = allowances.Allowances(self._rng, self._draw)
         tracker = loads.LoadTracker()
+        self._limits = requestlimits.EntryLimits()
         self._guard = promptguard.PromptGuard(tracker, self._request_probe, self._events, self._rng)
         self._admission = admission.Admission(
             self._documents, self._allowances, self._guard, self._rng
@@ -112,6 +113,7 @@
             registry.resolve("placement", configured.placement.policy)(),
             tracker,
             self._guard,
+            self._limits,
             self._events,
             self._rng,
         )
@@ -233,6 +235,7 @@
             demand=self._forwarder.demand(),
             reads=self._sender.loads.pop_prefix_reads(),
             parts=self._guard.report(),
+            limits=self._limits.report(clock.steady()),
         )
 
     async def _draw(self, organisation: str, amount: float) -> bool | None:
@@ -271,6 +274,7 @@
             self._sender.loads.add_prefix_holder(prefix_id, upstream_id, now)
         self._sender.set_entry_count(answer.entries)
         self._guard.receive(answer.parts)
+        self._limits.receive(answer.limits, now)
         table = self._documents.table
         if table is not None and table.routing.limits != self._caller_limits:
             self._caller_limits = table.routing.limits
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -8,6 +8,7 @@
     placement,
     quarantine,
     quota,
+    requestlimits,
     runnerplan,
     upstreams,
 )
@@ -78,6 +79,8 @@
         report.
     parts : PartReport
         Crashes of upstreams by prompt part, and the quarantines that the sender knows.
+    limits : tuple of NamedLimit
+        Limits that upstreams have named, as far as the sender knows.
     """
 
     sender: str
@@ -92,6 +95,7 @@
     demand: dict[str, demandmeter.DemandRates] = {}
     reads: tuple[tuple[str, str], ...] = ()
     parts: quarantine.PartReport = quarantine.PartReport()
+    limits: tuple[requestlimits.NamedLimit, ...] = ()
 
 
 class DirectoryUpdate(msgspec.Struct, frozen=True):
@@ -137,6 +141,8 @@
         leader can continue the plans.
     parts : PartDecisions
         Quarantined prompt parts.
+    limits : tuple of LimitShare
+        Limits that upstreams have named, with the receiver's shares.
     """
 
     poll: lease.PollAnswer
@@ -148,6 +154,7 @@
     reads: tuple[tuple[str, str], ...] = ()
     plans: dict[str, runnerplan.PlanState] = {}
     parts: quarantine.PartDecisions = quarantine.PartDecisions()
+    limits: tuple[requestlimits.LimitShare, ...] = ()
 
 
 class NotLeading(msgspec.Struct, frozen=True, tag=True):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -11,6 +11,7 @@
     placement,
     quarantine,
     quota,
+    requestlimits,
     usage,
 )
 
@@ -55,6 +56,8 @@
         By how much quotas may be exceeded.
     quarantines : QuarantineTable
         Quarantines of prompt parts, also those of earlier terms.
+    limits : LimitTable
+        Limits that upstreams have named, also those heard in earlier terms.
     """
 
     def __init__(
@@ -63,9 +66,14 @@
         lease_seconds: float,
         tolerance: quota.Tolerance,
         quarantines: quarantine.QuarantineTable,
+        limits: requestlimits.LimitTable,
     ) -> None:
         self._directory = upstream_directory
         self.crash_attribution = quarantine.CrashAttribution(quarantines)
+        self._limits = limits
+        # Shares by upstream and entry, and when they were computed.
+        self._limit_shares: dict[str, dict[str, float]] = {}
+        self._limits_divided_at = float("-inf")
         self._tolerance = tolerance
         self._buckets: dict[str, quota.TokenBucket] = {}
         self._recent_reads: collections.deque[tuple[int, str, tuple[str, str]]] = collections.deque(
@@ -103,6 +111,7 @@
             self._subtract_loads(reporter)
         reporter.report, reporter.reported_at = report, now
         self.crash_attribution.record(report.parts, now)
+        self._limits.merge(report.limits, now)
         self._add_loads(reporter)
         for read in report.reads:
             self._last_read_number += 1
@@ -210,6 +219,28 @@
             )
         return allowances
 
+    def limit_shares(self, sender: str, now: float) -> tuple[requestlimits.LimitShare, ...]:
+        """Returns the limits that upstreams have named, with a process's shares."""
+        limits = self._limits.limits(now)
+        if limits and now - self._limits_divided_at >= SWEEP_INTERVAL_SECONDS:
+            self._exclude_silent(now)
+            self._limits_divided_at = now
+            zones = {
+                name: each.report.zone for name, each in self._reporters.items() if each.counted
+            }
+            self._limit_shares = {
+                each.upstream_id: requestlimits.divide(
+                    each, self._directory.zone_of(each.upstream_id), zones, now
+                )
+                for each in limits
+            }
+        return tuple(
+            requestlimits.LimitShare(
+                each, self._limit_shares.get(each.upstream_id, {}).get(sender, 0.0)
+            )
+            for each in limits
+        )
+
     def draw(self, request: exchange.DrawRequest, now: float) -> bool:
         """Draws the units of a single request from a quota; returns whether the bucket has them."""
         bucket = self._buckets.get(request.organisation)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -20,7 +20,7 @@
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import errors as http_errors
-from coltsfoothead.kernel.traffic import overload, placement, repeats, upstreams
+from coltsfoothead.kernel.traffic import overload, placement, repeats, requestlimits, upstreams
 
 __all__ = ["Attempt", "Sender"]
 
@@ -67,6 +67,8 @@
         Placement policy that chooses among the upstreams.
     tracker : LoadTracker
     guard : PromptGuard
+    limits : EntryLimits
+        Limits of the requests that upstreams have named.
     events : EventLog
     rng : random.Random
     """
@@ -83,6 +85,7 @@
         policy: placement.Policy,
         tracker: loads.LoadTracker,
         guard: promptguard.PromptGuard,
+        limits: requestlimits.EntryLimits,
         events: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
@@ -97,9 +100,9 @@
         self._rng = rng
         self._policy = policy
         self._entry_count = 1
-        self._named_limits: dict[str, float | None] = {}
         self.loads = tracker
         self.guard = guard
+        self._limits = limits
         directory_copy.add_listener(self._on_upstream_change)
 
     def set_entry_count(self, entry_count: int) -> None:
@@ -122,6 +125,7 @@
         chosen, prompt = await self._select_upstream(state)
         await self.guard.ensure_may_be_sent(state)
         upstream = chosen.upstream
+        self._limits.take(upstream.id, clock.steady())
         state.upstream_id = upstream.id
         state.upstream_load = chosen.load
         state.load_age_seconds = self.loads.other_loads_age_seconds(clock.steady())
@@ -140,7 +144,7 @@
             tracked.end()
             raise
         head = self._dialect.decode_response_head(answer.status, answer.headers)
-        self._log_limit(upstream.id, head.requests_per_second)
+        self._record_limit(upstream.id, head)
         if not head.not_run:
             return Attempt(upstream.id, answer, head, tracked)
         answer.close()
@@ -151,10 +155,13 @@
             f"upstream refused the request with status {head.status}", not_run=True
         )
 
-    def _log_limit(self, upstream_id: str, requests_per_second: float | None) -> None:
-        if requests_per_second != self._named_limits.get(upstream_id):
-            self._named_limits[upstream_id] = requests_per_second
-            self._events.write("upstream_limit", upstream=upstream_id, rate=requests_per_second)
+    def _record_limit(self, upstream_id: str, head: ports.ResponseHead) -> None:
+        rate = head.requests_per_second
+        if rate is None and (head.not_run or head.status >= 500):
+            # Such an answer does not tell that the need has ended.
+            return
+        if self._limits.record_answer(upstream_id, rate, clock.steady()):
+            self._events.write("upstream_limit", upstream=upstream_id, rate=rate)
 
     def ensure_retry(
         self, state: requeststate.RequestState, failure: failures.AttemptFailedError
@@ -320,7 +327,13 @@
         untried = [
             each
             for each in self._directory.ready_upstreams(state.service)
-            if each.id not in state.excluded_upstreams
+            if each.id not in state.excluded_upstreams and self._limits.may_send(each.id, now)
+        ]
+        due = [
+            each
+            for each in untried
+            if self._limits.probe_due(each.id, now)
+            and self.loads.load(each.id).waiting < overload.ALWAYS_ADMITTED_WAITING
         ]
         candidates = [
             placement.Candidate(
@@ -329,7 +342,7 @@
                 self._distance(each.zone),
                 self.loads.failure_weight(each.id, now),
             )
-            for each in untried
+            for each in due or untried
         ]
         return self._policy.choose(candidates, prompt, self._rng)
 
@@ -349,7 +362,8 @@
             refused = self._refusal(state, chosen)
             if chosen is not None and refused is None:
                 return chosen, prompt
-            if not await self._directory.wait_for_change():
+            at_limits = chosen is None and self._has_limited_upstream(state)
+            if at_limits or not await self._directory.wait_for_change():
                 assert refused is not None
                 raise refused
 
@@ -358,6 +372,9 @@
     ) -> failures.RefusedError | None:
         """Returns the refusal of a request that cannot be sent, or None if it can."""
         if chosen is None:
+            if self._has_limited_upstream(state):
+                cause = f"the upstreams of {state.service} get no more than the limits they named"
+                return self._admission.retryable_refusal(ports.RefusalReason.OVERLOADED, cause)
             cause = f"no upstream of {state.service} among {len(self._directory.records)} known"
             return self._admission.retryable_refusal(
                 ports.RefusalReason.NO_UPSTREAM, cause, state.boot_seconds
@@ -373,6 +390,14 @@
         )
         return self._admission.retryable_refusal(ports.RefusalReason.OVERLOADED, cause)
 
+    def _has_limited_upstream(self, state: requeststate.RequestState) -> bool:
+        now = clock.steady()
+        return any(
+            not self._limits.may_send(each.id, now)
+            for each in self._directory.ready_upstreams(state.service)
+            if each.id not in state.excluded_upstreams
+        )
+
     def _distance(self, zone: str) -> int:
         if zone == self._own_zone:
             return 0
@@ -391,4 +416,3 @@
         )
         if upstream.state is upstreams.State.GONE:
             self.loads.remove_upstream(upstream.id)
-            self._named_limits.pop(upstream.id, None)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -16,7 +16,7 @@
     leadership,
     planstore,
 )
-from coltsfoothead.kernel.traffic import quarantine, quota
+from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits
 
 __all__ = ["ENDED_PREFIX", "TermManager"]
 
@@ -51,6 +51,8 @@
     plans : PlanStore
     quarantines : QuarantineTable
         This process's copy of the quarantines.
+    limits : LimitTable
+        This process's copy of the limits that upstreams have named.
     load_quarantines : callable
         Merges the quarantines that the log holds into this process's copy.
     record_quarantine : callable
@@ -71,6 +73,7 @@
         live_controls: Callable[[], list[str]],
         plans: planstore.PlanStore,
         quarantines: quarantine.QuarantineTable,
+        limits: requestlimits.LimitTable,
         load_quarantines: Callable[[], None],
         record_quarantine: Callable[[quarantine.Quarantine], None],
         events: eventlog.EventLog,
@@ -86,6 +89,7 @@
         self._live_controls = live_controls
         self._plans = plans
         self._quarantines = quarantines
+        self._limits = limits
         self._load_quarantines = load_quarantines
         self._record_quarantine = record_quarantine
         self._events = events
@@ -157,6 +161,7 @@
             term.new_reads(report.sender) if report.entry else (),
             {} if report.entry else self._plans.states(now),
             term.crash_attribution.decisions(now),
+            term.limit_shares(report.sender, now),
         )
 
     def answer_draw(self, request: exchange.DrawRequest) -> exchange.DrawResponse:
@@ -182,7 +187,7 @@
             leadership_id, self._announcement_interval_seconds, inherited, now
         )
         self._current = leadership.Leadership(
-            upstreams, self._lease_seconds, self._tolerance, self._quarantines
+            upstreams, self._lease_seconds, self._tolerance, self._quarantines, self._limits
         )
         self._log_read = False
         self._events.write("leading", term=term_number, upstreams=len(inherited))
--- a/packages/daemon/tests/test_leadership.py
+++ b/packages/daemon/tests/test_leadership.py
@@ -5,7 +5,7 @@
 
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.gateway import directory, exchange, leadership
-from coltsfoothead.kernel.traffic import document, placement, quarantine, quota
+from coltsfoothead.kernel.traffic import document, placement, quarantine, quota, requestlimits
 
 ORGANISATION = document.Organisation("film", (), None, document.Quota(100.0, 200.0, True))
 
@@ -20,7 +20,11 @@
     def setUp(self):
         upstreams = directory.Directory("a/1", 1.0, {}, 0.0)
         self.term = leadership.Leadership(
-            upstreams, 4.0, quota.Tolerance(), quarantine.QuarantineTable()
+            upstreams,
+            4.0,
+            quota.Tolerance(),
+            quarantine.QuarantineTable(),
+            requestlimits.LimitTable(),
         )
 
     def test_reads_reach_every_other_entry_once(self):
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/overload.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/overload.py
@@ -9,13 +9,16 @@
 
 from coltsfoothead.kernel.traffic import document, placement
 
-__all__ = ["AdmissionDecision", "decide_admission"]
+__all__ = ["ALWAYS_ADMITTED_WAITING", "AdmissionDecision", "decide_admission"]
 
 # Fraction of the objective that the expected time to the start of the answer may take, by the
 # priority of the route. Lower priorities than the last one use its value.
 START_FRACTIONS = (1.0, 0.8, 0.5)
 # Requests in flight per slot, by priority. With more, streams pause for longer than the objective.
 SLOT_FRACTIONS = (1.0, 0.9, 0.8)
+# While fewer requests wait, one more is always admitted: the estimate counts whole prompts,
+# although the prefill of one may be partly done.
+ALWAYS_ADMITTED_WAITING = 2
 # Objective of a route that has none.
 DEFAULT_GOAL_SECONDS = 2.0
 
@@ -62,7 +65,5 @@
     expected = placement.expected_start_seconds(load)
     limit = START_FRACTIONS[rank] * (route.goal_seconds or DEFAULT_GOAL_SECONDS)
     slots = SLOT_FRACTIONS[rank] * best.upstream.slots
-    # While fewer than two requests wait, one more is always admitted: the estimate counts whole
-    # prompts, although the prefill of one may be partly done.
-    admitted = load.waiting < 2 or (expected <= limit and in_flight < slots)
+    admitted = load.waiting < ALWAYS_ADMITTED_WAITING or (expected <= limit and in_flight < slots)
     return AdmissionDecision(admitted, expected, limit, in_flight, slots)
