Answer 502 when a retry finds no upstream after an attempt that may have run

Callers saw: 503 with Retry-After, which promises that the request has not run and never will, although a first upstream had received it. Cause: the refusal for want of an upstream did not look at earlier attempts of the same request. Change: after an attempt that may have run, such a refusal is 502, which promises nothing. Ruled out: refusals for overload; they are given to first attempts only. Found by reading the refusals beside the new one for upstreams at their limits.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -365,6 +365,9 @@
             at_limits = chosen is None and self._has_limited_upstream(state)
             if at_limits or not await self._directory.wait_for_change():
                 assert refused is not None
+                if state.may_have_run:
+                    refusal = ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
+                    raise failures.RefusedError(refusal, refused.cause)
                 raise refused
 
     def _refusal(
