Split the HTTP client's connection and the attribution of crashes into modules of their own

Change: http/connection.py holds one connection with its parser, http/client.py responses and the pool; kernel/traffic/crashattribution.py holds what the leader decides. Moves only; two tests patch a constant at its new place.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -6,6 +6,7 @@
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.gateway import directory, exchange
 from coltsfoothead.kernel.traffic import (
+    crashattribution,
     demandmeter,
     document,
     placement,
@@ -69,7 +70,7 @@
         limits: requestlimits.LimitTable,
     ) -> None:
         self._directory = upstream_directory
-        self.crash_attribution = quarantine.CrashAttribution(quarantines)
+        self.crash_attribution = crashattribution.CrashAttribution(quarantines)
         self._limits = limits
         # Shares by upstream and entry, and when they were computed.
         self._limit_shares: dict[str, dict[str, float]] = {}
--- a/packages/daemon/tests/test_http_client.py
+++ b/packages/daemon/tests/test_http_client.py
@@ -4,7 +4,7 @@
 import unittest
 import unittest.mock
 
-from coltsfoothead.daemon.http import client, errors, message
+from coltsfoothead.daemon.http import client, connection, errors, message
 
 
 def response(name, body=b"hi"):
@@ -109,7 +109,7 @@
 
         await self.start(respond)
         request = message.Request("GET", "/one", (), b"")
-        with unittest.mock.patch.object(client, "HEAD_TIMEOUT_SECONDS", 0.1):
+        with unittest.mock.patch.object(connection, "HEAD_TIMEOUT_SECONDS", 0.1):
             for _ in range(2):
                 parts = []
                 streamed_response = await self.client.send(self.address, request, None)
--- /dev/null
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
@@ -0,0 +1,191 @@
+"""Attribution of crashes of upstreams to the prompt parts on which they began an answer."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from coltsfoothead.kernel.traffic import quarantine
+
+__all__ = ["FIRST_QUARANTINE_SECONDS", "CrashAttribution"]
+
+# Entries exchange messages with the leader at least twice a second. A crash counts after this time,
+# in which every entry has reported the answers that have begun since.
+SETTLE_SECONDS = 0.6
+# Crashes within this time count as one episode, since upstreams that share a cause end together.
+EPISODE_SECONDS = 0.1
+# Crashes from which all parts are quarantined that occurred in the same ones.
+INSEPARABLE_CRASHES = 4
+# Length of the first quarantine of a part, and the longest one; each further one is twice as long.
+FIRST_QUARANTINE_SECONDS = 30.0
+MAX_QUARANTINE_SECONDS = 600.0
+# A probe without an outcome after this time is lost, and another one may be sent.
+PROBE_TIMEOUT_SECONDS = 20.0
+# Bound of the messages that callers can cause.
+MAX_SUSPECTS = 128
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Threshold:
+    """Crashes without an answer in between, and their episodes, that quarantine a part."""
+
+    crashes: int
+    episodes: int
+
+
+# By whether an answer on the part has begun within `START_RETENTION_SECONDS`.
+_THRESHOLDS = {False: _Threshold(3, 2), True: _Threshold(5, 4)}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HeardCrash:
+    at: float
+    heard_at: float
+
+
+class CrashAttribution:
+    """Attributes the crashes that the entries report to prompt parts; run by the leader.
+
+    Parameters
+    ----------
+    table : quarantine.QuarantineTable
+        Receives the quarantines.
+    """
+
+    def __init__(self, table: quarantine.QuarantineTable) -> None:
+        self._table = table
+        self._crashes: dict[str, dict[str, _HeardCrash]] = {}
+        self._starts: dict[str, float] = {}
+        self._probed_at: dict[str, float] = {}
+
+    def record(self, report: quarantine.PartReport, now: float) -> None:
+        """Adds the report of an entry."""
+        self._table.merge(report.quarantines, now)
+        for crash in report.crashes:
+            heard = self._crashes.setdefault(crash.part_id, {})
+            heard.setdefault(crash.upstream, _HeardCrash(now - crash.age_seconds, now))
+        for part_id, age in report.start_ages.items():
+            self._starts[part_id] = max(self._starts.get(part_id, float("-inf")), now - age)
+
+    def decisions(self, now: float) -> quarantine.PartDecisions:
+        """Returns the answer for the entries and for the other control processes."""
+        return quarantine.PartDecisions(self._suspects(now), self._table.states(now))
+
+    def _suspects(self, now: float) -> tuple[str, ...]:
+        """Returns the parts whose starts decide, those with the most crashes first."""
+        quarantined = [each.part_id for each in self._table.states(now) if not each.released]
+        by_crashes = sorted(self._crashes, key=lambda each: -len(self._crashes[each]))
+        return tuple(dict.fromkeys([*quarantined, *by_crashes]))[:MAX_SUSPECTS]
+
+    def evaluate(self, now: float) -> list[quarantine.Quarantine]:
+        """Quarantines and releases parts; returns the states that changed."""
+        if not self._crashes and not self._table.states(now):
+            return []
+        self._forget_old(now)
+        changes = self._review_active(now)
+        while culprits := self._find_culprits(now):
+            for part_id in culprits:
+                changes.append(self._change(part_id, now, released=False))
+        return changes
+
+    def grant_probe(self, part_id: str, now: float) -> bool:
+        """Returns whether one request with a part may be sent whose quarantine has run out."""
+        state = self._table.state(part_id, now)
+        if state is None or state.released:
+            return True
+        probed_at = self._probed_at.get(part_id, float("-inf"))
+        if state.remaining_seconds > 0 or now - probed_at < PROBE_TIMEOUT_SECONDS:
+            return False
+        self._probed_at[part_id] = now
+        return True
+
+    def _change(self, part_id: str, now: float, released: bool) -> quarantine.Quarantine:
+        known = self._table.state(part_id, now)
+        revision = known.revision + 1 if known is not None else 1
+        strikes = known.strikes if known is not None else 0
+        seconds = 0.0
+        if not released:
+            strikes += 1
+            seconds = FIRST_QUARANTINE_SECONDS * 2.0 ** min(strikes - 1, 16)
+        state = quarantine.Quarantine(
+            part_id, revision, min(seconds, MAX_QUARANTINE_SECONDS), strikes, released
+        )
+        self._table.put(state, now)
+        self._probed_at.pop(part_id, None)
+        return state
+
+    def _review_active(self, now: float) -> list[quarantine.Quarantine]:
+        """Releases parts on which an answer has begun, and extends those that crashed a probe."""
+        changes = []
+        for state in self._table.states(now):
+            if state.released:
+                continue
+            part_id, end = state.part_id, now + state.remaining_seconds
+            others = self._explained(now, except_part=part_id)
+            crashed_at = [
+                each.at
+                for upstream, each in self._crashes.get(part_id, {}).items()
+                if upstream not in others
+            ]
+            latest_crash = max(crashed_at, default=float("-inf"))
+            if self._starts.get(part_id, float("-inf")) > latest_crash:
+                changes.append(self._change(part_id, now, released=True))
+            elif latest_crash > end:
+                changes.append(self._change(part_id, now, released=False))
+        return changes
+
+    def _explained(self, now: float, except_part: str | None = None) -> set[str]:
+        """Returns the upstreams whose crashes are attributed to quarantined parts."""
+        return {
+            upstream
+            for state in self._table.states(now)
+            if not state.released and state.part_id != except_part
+            for upstream in self._crashes.get(state.part_id, ())
+        }
+
+    def _find_culprits(self, now: float) -> list[str]:
+        """Returns parts to quarantine: the one with the most crashes, or several inseparable ones.
+
+        Requests that wait beside the culprit share some of its crashes. Once it is quarantined,
+        these no longer count against the other parts.
+        """
+        explained = self._explained(now)
+        cases = {}
+        for part_id, heard in self._crashes.items():
+            state = self._table.state(part_id, now)
+            if state is not None and not state.released:
+                continue
+            started_at = self._starts.get(part_id)
+            pending = {
+                upstream: each
+                for upstream, each in heard.items()
+                if upstream not in explained and (started_at is None or each.at > started_at)
+            }
+            if _is_conclusive(pending.values(), started_at is not None, now):
+                cases[part_id] = pending.keys()
+        most = max(map(len, cases.values()), default=0)
+        leading = [part_id for part_id, crashed in cases.items() if len(crashed) == most]
+        for part_id in leading:
+            overlapping = [each for each in leading if cases[each] & cases[part_id]]
+            if len(overlapping) == 1 or most >= INSEPARABLE_CRASHES:
+                return [each for each in overlapping if cases[each] == cases[part_id]]
+        return []
+
+    def _forget_old(self, now: float) -> None:
+        for part_id, heard in list(self._crashes.items()):
+            for upstream, each in list(heard.items()):
+                if now - each.at > quarantine.CRASH_RETENTION_SECONDS:
+                    del heard[upstream]
+            if not heard:
+                del self._crashes[part_id]
+        for part_id, at in list(self._starts.items()):
+            if now - at > quarantine.START_RETENTION_SECONDS:
+                del self._starts[part_id]
+
+
+def _is_conclusive(crashes: Iterable[_HeardCrash], started: bool, now: float) -> bool:
+    """Returns whether crashes without a start in between suffice to quarantine a part."""
+    threshold = _THRESHOLDS[started]
+    settled = sorted(each.at for each in crashes if now - each.heard_at >= SETTLE_SECONDS)
+    if len(settled) < threshold.crashes:
+        return False
+    pairs = zip(settled, settled[1:], strict=False)
+    return 1 + sum(later - at > EPISODE_SECONDS for at, later in pairs) >= threshold.episodes
--- a/packages/kernel/tests/crash_simulation.py
+++ b/packages/kernel/tests/crash_simulation.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from coltsfoothead.kernel.traffic import quarantine
+from coltsfoothead.kernel.traffic import crashattribution, quarantine
 
 STEP_SECONDS = 0.05
 BEGINNING_SECONDS = 0.3
@@ -66,7 +66,7 @@
         self.starting_at = []
         self.started = upstreams
         self.table = quarantine.QuarantineTable()
-        self.attribution = quarantine.CrashAttribution(self.table)
+        self.attribution = crashattribution.CrashAttribution(self.table)
         self.crashes, self.bad_sent, self.quarantined = {}, {}, []
         self.sent = self.refused = 0
 
@@ -83,7 +83,7 @@
         """Replaces the leader by one that knows the quarantines or nothing."""
         if not keeps_table:
             self.table = quarantine.QuarantineTable()
-        self.attribution = quarantine.CrashAttribution(self.table)
+        self.attribution = crashattribution.CrashAttribution(self.table)
 
     def restart_entry(self, number):
         """Replaces an entry by one that knows nothing."""
--- a/packages/kernel/tests/test_quarantine.py
+++ b/packages/kernel/tests/test_quarantine.py
@@ -8,7 +8,7 @@
 
 import crash_simulation
 
-from coltsfoothead.kernel.traffic import quarantine
+from coltsfoothead.kernel.traffic import crashattribution, quarantine
 
 # `contact_ms` of the platform's sites, and what its rule BUDGET allows after that.
 CONTACT_SECONDS = 4.0
@@ -125,7 +125,7 @@
         part, fleet.bad_per_second = crash_simulation.BAD_PART, 0.0
         self.assertIn(part, fleet.culprits())
         self.assertFalse(fleet.attribution.grant_probe(part, fleet.now))
-        fleet.run(quarantine.FIRST_QUARANTINE_SECONDS)
+        fleet.run(crashattribution.FIRST_QUARANTINE_SECONDS)
         self.assertTrue(fleet.attribution.grant_probe(part, fleet.now))
         self.assertFalse(fleet.attribution.grant_probe(part, fleet.now), "one probe at a time")
         fleet.entries[0].observer.record_start(("system", part), fleet.now)
@@ -167,12 +167,12 @@
 class CrashAttributionTest(unittest.TestCase):
     def setUp(self):
         self.table = quarantine.QuarantineTable()
-        self.attribution = quarantine.CrashAttribution(self.table)
+        self.attribution = crashattribution.CrashAttribution(self.table)
 
     def evaluate(self, now, *crashes, **starts):
         """Records a report, waits until it counts, and returns the parts that are quarantined."""
         self.attribution.record(report(*crashes, start_ages=starts), now)
-        changes = self.attribution.evaluate(now + quarantine.SETTLE_SECONDS + 0.01)
+        changes = self.attribution.evaluate(now + crashattribution.SETTLE_SECONDS + 0.01)
         return [(each.part_id, each.released) for each in changes]
 
     def test_repeated_reports_count_once(self):
@@ -188,7 +188,7 @@
         self.assertTrue(self.attribution.grant_probe("p", 60.0))
         self.assertEqual(self.evaluate(61.0, ("p", "u-9", 0.0)), [("p", False)])
         remaining = self.table.state("p", 61.61).remaining_seconds
-        self.assertAlmostEqual(remaining, 2 * quarantine.FIRST_QUARANTINE_SECONDS)
+        self.assertAlmostEqual(remaining, 2 * crashattribution.FIRST_QUARANTINE_SECONDS)
         self.assertFalse(self.attribution.grant_probe("p", 100.0))
 
     def test_an_answer_on_the_part_releases_it(self):
