Bound the search for parts to quarantine

The leader would stop answering, and with it the gateway. Cause: with more than 64 parts to quarantine the oldest quarantine was dropped for the newest one, was found again in the same search, and so on without end. Change: no further part is quarantined while 64 are; released states are dropped first.

--- a/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
@@ -147,6 +147,9 @@
         Requests that wait beside the culprit share some of its crashes. Once it is quarantined,
         these no longer count against the other parts.
         """
+        active = sum(not state.released for state in self._table.states(now))
+        if active >= quarantine.MAX_QUARANTINES:
+            return []
         explained = self._explained(now)
         cases = {}
         for part_id, heard in self._crashes.items():
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/quarantine.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/quarantine.py
@@ -140,13 +140,14 @@
         return newer
 
     def put(self, state: Quarantine, now: float) -> None:
-        """Replaces the state of a part; drops the oldest ones beyond `MAX_QUARANTINES`."""
+        """Replaces the state of a part; beyond `MAX_QUARANTINES` drops released ones first."""
         self._states.pop(state.part_id, None)
         self._states[state.part_id] = state
         self._ends[state.part_id] = now + state.remaining_seconds
         while len(self._states) > MAX_QUARANTINES:
-            oldest = next(iter(self._states))
-            del self._states[oldest], self._ends[oldest]
+            released = (name for name, each in self._states.items() if each.released)
+            dropped = next(released, next(iter(self._states)))
+            del self._states[dropped], self._ends[dropped]
 
     def state(self, part_id: str, now: float) -> Quarantine | None:
         """Returns the state of a part with its remaining time, or None."""
--- a/packages/kernel/tests/test_quarantine.py
+++ b/packages/kernel/tests/test_quarantine.py
@@ -197,6 +197,14 @@
         self.assertEqual(self.evaluate(10.0, *crashes), [("p", False)])
         self.assertEqual(self.evaluate(11.0, p=0.0), [("p", True)])
 
+    def test_more_parts_than_can_be_quarantined(self):
+        """Guards against a leader that goes on exchanging one quarantined part for another."""
+        for part in range(2 * quarantine.MAX_QUARANTINES):
+            crashes = [(f"p-{part}", f"u-{part}-{each}", 10.0 - each) for each in range(3)]
+            self.attribution.record(report(*crashes), 10.0)
+        self.assertEqual(len(self.attribution.evaluate(11.0)), quarantine.MAX_QUARANTINES)
+        self.assertEqual(self.attribution.evaluate(12.0), [])
+
     def test_inseparable_parts_are_quarantined_together(self):
         """Guards against waiting for ever if two parts occur in the same requests only."""
         for number in range(4):
