Do not apply the loads and shares of an answer from before a suspension

Callers would see: after a suspension of an entry, refusals or requests at an upstream by shares and limits that no longer hold. Cause: ages in the leader's answer count from its sending, and an entry that is suspended between poll and answer takes them from its own time; an ended limit could come back to all entries for some 3 s. Ruled out: dropping the answer whole, which could keep a slow entry from serving. Found by reading, not seen in a run.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadersync.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadersync.py
@@ -28,6 +28,9 @@
 # Time-out for a process that is not known to lead, ten round trips between regions. After a restart
 # of all processes the target may still be starting, and a lost first packet costs a second.
 SEARCH_TIMEOUT_SECONDS = 0.25
+# An answer that took longer arrived while this process was suspended. Its loads, shares and ages
+# are no longer true; documents and the directory are numbered, and the lease counts from the poll.
+MAX_ANSWER_AGE_SECONDS = 1.0
 # Pause after all processes were tried and none answered as leader.
 RETRY_SECONDS = 0.1
 
@@ -93,7 +96,8 @@
         while targets:
             target = targets.pop(0)
             tried.add(target)
-            answer = await self._exchange(target)
+            sent_at = clock.steady()
+            answer = await self._exchange(target, sent_at)
             match answer:
                 case exchange.Answer():
                     self._link.set_leader(target)
@@ -101,15 +105,20 @@
                     self._documents.receive(answer.poll)
                     self._directory.receive(answer.directory)
                     self._interval_seconds = interval_seconds(answer.entries)
-                    self._on_answer(answer)
+                    age_seconds = clock.steady() - sent_at
+                    if age_seconds <= MAX_ANSWER_AGE_SECONDS:
+                        self._on_answer(answer)
+                    else:
+                        self._events.write("answer_stale", seconds=round(age_seconds, 2))
                     return True
                 case exchange.NotLeading(leader=leader) if leader and leader not in tried:
                     self._link.set_leader(leader)
                     targets.insert(0, leader)
         return False
 
-    async def _exchange(self, target: str) -> exchange.Answer | exchange.NotLeading | None:
-        sent_at = clock.steady()
+    async def _exchange(
+        self, target: str, sent_at: float
+    ) -> exchange.Answer | exchange.NotLeading | None:
         report = self._build_report(self._documents.poll(sent_at), self._directory.version)
         timeout_seconds = (
             SYNC_TIMEOUT_SECONDS if target == self._link.leader else SEARCH_TIMEOUT_SECONDS
