Write the log line of a quarantine in one place

Cause: entries and the leader wrote the same six lines. Change: promptguard.log_change; two docstrings name what is raised and when. No decision changes.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
@@ -7,7 +7,7 @@
 from coltsfoothead.daemon.gateway import clock, eventlog, failures, loads, ports, requeststate
 from coltsfoothead.kernel.traffic import quarantine, upstreams
 
-__all__ = ["PromptGuard"]
+__all__ = ["PromptGuard", "log_change"]
 
 # An answer that breaks off within this time of its first event is a crash at its beginning.
 BEGINNING_SECONDS = 0.3
@@ -51,29 +51,34 @@
     def receive(self, decisions: quarantine.PartDecisions) -> None:
         """Applies the leader's answer."""
         for state in self._observer.receive(decisions, clock.steady()):
-            self._events.write(
-                "part_released" if state.released else "part_quarantined",
-                part=state.part_id,
-                revision=state.revision,
-                strikes=state.strikes,
-                seconds=round(state.remaining_seconds, 1),
-            )
+            log_change(self._events, state)
 
     def is_quarantined(self, part_ids: tuple[str, ...]) -> bool:
         """Returns whether a prompt has a quarantined part; a probe of it is not repeated either."""
         return self._table.active(part_ids, clock.steady()) is not None
 
     def ensure_admissible(self, part_ids: tuple[str, ...]) -> None:
-        """Raises `RefusedError` if a part of a prompt is quarantined and may not be probed yet."""
+        """Checks that no part of a prompt is quarantined, or that it may be probed.
+
+        Raises
+        ------
+        RefusedError
+            If a part may not be probed yet.
+        """
         state = self._table.active(part_ids, clock.steady())
         if state is not None and state.remaining_seconds > 0:
             raise self._refusal(state)
 
     async def ensure_may_be_sent(self, state: requeststate.RequestState) -> None:
-        """Raises `RefusedError` if a part is quarantined and the leader does not allow a probe.
+        """Checks right before an attempt that no part of the prompt is quarantined.
 
-        Called right before each attempt, since a part may have been quarantined while the request
-        waited.
+        A part may have been quarantined while the request waited. Once a quarantine has run out,
+        the leader decides whether the request may probe the part.
+
+        Raises
+        ------
+        RefusedError
+            If the request may not be sent.
         """
         held = self._table.active(state.shared_part_ids, clock.steady())
         if held is None:
@@ -100,9 +105,10 @@
         self._observer.record_start(state.shared_part_ids, clock.steady())
 
     def record_close(self, state: requeststate.RequestState, upstream: upstreams.Upstream) -> None:
-        """Records that an upstream closed the connection before it had answered.
+        """Records that an upstream closed the connection of an attempt.
 
-        It has crashed unless connections of earlier requests to it are still open soon after.
+        If that was before or at the beginning of the answer, the upstream has crashed, unless other
+        connections to it are still open soon after.
         """
         if state.attempt_sound or not state.shared_part_ids:
             return
@@ -129,5 +135,16 @@
         return failures.RefusedError(refusal, _cause(held))
 
 
+def log_change(events: eventlog.EventLog, state: quarantine.Quarantine) -> None:
+    """Writes a log line about a new state of a quarantine."""
+    events.write(
+        "part_released" if state.released else "part_quarantined",
+        part=state.part_id,
+        revision=state.revision,
+        strikes=state.strikes,
+        seconds=round(state.remaining_seconds, 1),
+    )
+
+
 def _cause(held: quarantine.Quarantine) -> str:
     return f"upstreams crash on prompt part {held.part_id}; quarantine {held.strikes}"
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -15,6 +15,7 @@
     exchange,
     leadership,
     planstore,
+    promptguard,
 )
 from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits
 
@@ -234,13 +235,7 @@
         assert self._current is not None
         for state in self._current.crash_attribution.evaluate(now):
             self._record_quarantine(state)
-            self._events.write(
-                "part_released" if state.released else "part_quarantined",
-                part=state.part_id,
-                revision=state.revision,
-                strikes=state.strikes,
-                seconds=round(state.remaining_seconds, 1),
-            )
+            promptguard.log_change(self._events, state)
 
     def _expire_silent(self, now: float) -> None:
         assert self._current is not None
