Log a digest of each request that all its repetitions share

The logs could not tell whether the requests under which back ends end are one request that its caller repeats, since each attempt has an ID of its own and requests of plain services have no prompt parts. The lines attempt_failed and request now have a digest of method, host, target, organisation and body. No decision uses it.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -389,6 +389,7 @@
                 ),
                 "load_age_s": state.load_age_seconds and round(state.load_age_seconds, 2),
                 "tokens": state.caller_request.total_tokens,
+                "digest": state.request_digest,
                 "parts": state.shared_part_ids[: requeststate.MAX_LOGGED_PARTS],
                 "first_ms": round((first_event_at - arrived_at) * 1e3, 1),
                 "pause_ms": round(state.longest_pause_seconds * 1e3, 1),
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -1,6 +1,8 @@
 """State of one request while an entry serves it."""
 
 import dataclasses
+import functools
+import hashlib
 
 from coltsfoothead.daemon.gateway import ports
 from coltsfoothead.daemon.http import message
@@ -10,9 +12,11 @@
 
 # Parts of a prompt in a log line; a caller may send hundreds.
 MAX_LOGGED_PARTS = 8
+# Length of the digest of a request; two requests of a day with the same one are improbable.
+DIGEST_BYTES = 8
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass
 class RequestState:
     """A request, the decisions made about it and the progress of its attempts.
 
@@ -80,6 +84,20 @@
         """Name of the organisation, or None for a request without one."""
         return self.organisation.name if self.organisation is not None else None
 
+    @functools.cached_property
+    def request_digest(self) -> str:
+        """Digest of the request, which is equal for the caller's repetitions of it.
+
+        Callers give each attempt an ID and a deadline of its own, so that headers are left out.
+        """
+        request = self.request
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        fields = (request.method, request.header("host") or "", request.target)
+        for field in (*fields, self.organisation_name or ""):
+            digest.update(field.encode() + b"\0")
+        digest.update(request.body)
+        return digest.hexdigest()
+
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """IDs of the prompt's parts that other requests may share, in order."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -226,6 +226,7 @@
             cause=failure.cause,
             closed=failure.closed,
             began=state.attempt_began_at is not None,
+            digest=state.request_digest,
             parts=state.shared_part_ids[: requeststate.MAX_LOGGED_PARTS],
         )
 
