Quarantine single requests that crash upstreams

Callers saw all back ends of the plain service end again and again, and everyone's holds, deposits and lookups refused until they had restarted.

Cause: a crash was attributed to the shared parts of a prompt only. Requests of plain services have none, and a streamed request that itself crashes runners hid behind parts that sound requests share. Each entry saw a crash or two, repeated the request at another upstream, and forgot it.

Change: a request as a whole counts as one more part of itself, by a digest of what its caller repeats, in the reports, numbered quarantines and log records that prompt parts have. From the second crash on each attempt needs the leader's permission, which is given to one of the requests that share crashes at a time and while two more upstreams of the service serve. A shared part is accused only if no single request has all of its crashes. Entries repeat no trial, and no request after two crashed attempts. Quarantined again after a probe, a request is withheld for 10 minutes.

Ruled out: load after the restart (one or two requests ran there when the upstreams ended), and ends for another reason (the same request was present each time in the test).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -114,7 +114,7 @@
             scaling.boot_seconds if scaling is not None else None,
         )
         on_routed(state)
-        self._guard.ensure_admissible(state.shared_part_ids)
+        self._guard.ensure_admissible(state.part_ids)
         await self._charge_quota(state)
         return state
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -253,12 +253,12 @@
         self._metrics.count(f"quota_draws_{_DRAW_OUTCOMES[granted]}")
         return granted
 
-    async def _request_probe(self, part_id: str) -> bool | None:
-        """Asks the leader whether a request may probe a part; None if no leader answers."""
+    async def _request_probe(self, part_id: str, service: str) -> bool | None:
+        """Asks the leader whether a request may be sent; None if no leader answers."""
         leader = self._link.leader
         if leader is None:
             return None
-        payload = exchange.encode(exchange.ProbeRequest(part_id))
+        payload = exchange.encode(exchange.ProbeRequest(part_id, service))
         try:
             answer = await self._link.call(leader, exchange.PROBE, payload, DRAW_TIMEOUT_SECONDS)
             return exchange.decode_probe_response(answer).given
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -209,9 +209,17 @@
 
 
 class ProbeRequest(msgspec.Struct, frozen=True):
-    """Request of an entry to probe a prompt part whose quarantine has run out."""
+    """Request of an entry to probe a part whose quarantine has run out, or to try a request.
+
+    Parameters
+    ----------
+    part_id : str
+    service : str
+        Service whose upstreams would get it.
+    """
 
     part_id: str
+    service: str = ""
 
 
 class ProbeResponse(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
@@ -1,6 +1,7 @@
-"""An entry's part in the quarantine of prompt parts on which upstreams crash."""
+"""An entry's share in the quarantine of prompt parts and requests on which upstreams crash."""
 
 import asyncio
+import collections
 import random
 from collections.abc import Awaitable, Callable
 
@@ -16,6 +17,15 @@
 CONFIRM_SECONDS = 0.3
 # Random part of the delay after which a caller whose prompt is quarantined should return.
 RETURN_SPREAD_SECONDS = 5.0
+# Range of that delay if another request is on trial.
+TRIAL_RETURN_SECONDS = (1.0, 2.0)
+# Attempts of one request that may crash upstreams before it is given up.
+MAX_CRASHED_ATTEMPTS = 2
+# An answer that arrives later than this after another connection was closed was not yet under way
+# then, so that its upstream still runs.
+ANSWER_DELAY_SECONDS = 0.1
+# Upstreams whose latest answer is remembered.
+MAX_ANSWERED_UPSTREAMS = 1024
 
 
 class PromptGuard:
@@ -25,7 +35,8 @@
     ----------
     tracker : LoadTracker
     request_probe : callable
-        Asks the leader whether a request may probe a part. Returns None if no leader answers.
+        Asks the leader whether a request may probe a part, or be tried, at the upstreams of a
+        service. Returns None if no leader answers.
     events : EventLog
     rng : random.Random
     """
@@ -33,7 +44,7 @@
     def __init__(
         self,
         tracker: loads.LoadTracker,
-        request_probe: Callable[[str], Awaitable[bool | None]],
+        request_probe: Callable[[str, str], Awaitable[bool | None]],
         events: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
@@ -43,6 +54,7 @@
         self._rng = rng
         self._table = quarantine.QuarantineTable()
         self._observer = quarantine.PartObserver(self._table)
+        self._answered_at: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     def report(self) -> quarantine.PartReport:
         """Returns the report for the leader."""
@@ -53,9 +65,16 @@
         for state in self._observer.receive(decisions, clock.steady()):
             log_change(self._events, state)
 
-    def is_quarantined(self, part_ids: tuple[str, ...]) -> bool:
-        """Returns whether a prompt has a quarantined part; a probe of it is not repeated either."""
-        return self._table.active(part_ids, clock.steady()) is not None
+    def may_be_repeated(self, state: requeststate.RequestState) -> bool:
+        """Returns whether an attempt may be repeated at another upstream.
+
+        Probes, trials and requests that seem to have crashed several upstreams are not repeated.
+        """
+        return (
+            state.crashed_attempts < MAX_CRASHED_ATTEMPTS
+            and not self._observer.needs_trial(state.request_part_id)
+            and self._table.active(state.part_ids, clock.steady()) is None
+        )
 
     def ensure_admissible(self, part_ids: tuple[str, ...]) -> None:
         """Checks that no part of a prompt is quarantined, or that it may be probed.
@@ -73,18 +92,20 @@
         """Checks right before an attempt that no part of the prompt is quarantined.
 
         A part may have been quarantined while the request waited. Once a quarantine has run out,
-        the leader decides whether the request may probe the part.
+        the leader decides whether the request may probe the part. It also decides on each attempt
+        of a request that is suspected of crashing upstreams.
 
         Raises
         ------
         RefusedError
             If the request may not be sent.
         """
-        held = self._table.active(state.shared_part_ids, clock.steady())
+        held = self._table.active(state.part_ids, clock.steady())
         if held is None:
+            await self._ensure_trial_granted(state)
             return
         may_probe = not state.sent_count and held.remaining_seconds <= 0
-        if may_probe and await self._request_probe(held.part_id):
+        if may_probe and await self._request_probe(held.part_id, state.service):
             self._events.write("part_probed", id=state.caller_request.id, part=held.part_id)
             return
         if state.may_have_run:
@@ -92,6 +113,19 @@
             raise failures.RefusedError(refusal, _cause(held))
         raise self._refusal(held)
 
+    async def _ensure_trial_granted(self, state: requeststate.RequestState) -> None:
+        part_id = state.request_part_id
+        if not self._observer.needs_trial(part_id):
+            return
+        if await self._request_probe(part_id, state.service):
+            self._events.write("request_tried", id=state.caller_request.id, part=part_id)
+            return
+        refusal = ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
+        if not state.may_have_run:
+            delay_seconds = self._rng.uniform(*TRIAL_RETURN_SECONDS)
+            refusal = ports.Refusal(ports.RefusalReason.QUARANTINED, delay_seconds)
+        raise failures.RefusedError(refusal, f"upstreams crashed under {part_id}; no trial now")
+
     def record_progress(self, state: requeststate.RequestState, now: float) -> None:
         """Records that an attempt brought events at event loop time `now`."""
         began_at = state.attempt_began_at
@@ -102,28 +136,38 @@
     def record_answer(self, state: requeststate.RequestState) -> None:
         """Records that an upstream answers a request, or has answered it."""
         state.attempt_sound = True
-        self._observer.record_start(state.shared_part_ids, clock.steady())
+        now = clock.steady()
+        self._observer.record_start(state.part_ids, now)
+        if state.upstream_id is not None:
+            self._answered_at[state.upstream_id] = now
+            self._answered_at.move_to_end(state.upstream_id)
+        if len(self._answered_at) > MAX_ANSWERED_UPSTREAMS:
+            self._answered_at.popitem(last=False)
 
     def record_close(self, state: requeststate.RequestState, upstream: upstreams.Upstream) -> None:
         """Records that an upstream closed the connection of an attempt.
 
         If that was before or at the beginning of the answer, the upstream has crashed, unless other
-        connections to it are still open soon after.
+        connections to it are still open soon after, or it answers another request.
         """
-        if state.attempt_sound or not state.shared_part_ids:
+        if state.attempt_sound:
             return
-        part_ids, closed_at = state.shared_part_ids, clock.steady()
+        state.crashed_attempts += 1
+        part_ids, closed_at = state.part_ids, clock.steady()
         others = self._loads.active_requests(upstream.id)
 
         def confirm() -> None:
-            if others & self._loads.active_requests(upstream.id):
+            answered_at = self._answered_at.get(upstream.id, float("-inf"))
+            has_answered = answered_at > closed_at + ANSWER_DELAY_SECONDS
+            if has_answered or others & self._loads.active_requests(upstream.id):
                 return
-            self._observer.record_crash(part_ids, f"{upstream.id}/{upstream.born}", closed_at)
+            self._observer.record_crash(part_ids, quarantine.upstream_key(upstream), closed_at)
             self._events.write(
                 "upstream_crashed",
                 id=state.caller_request.id,
                 upstream=upstream.id,
-                parts=part_ids[: requeststate.MAX_LOGGED_PARTS],
+                digest=state.request_digest,
+                parts=state.shared_part_ids[: requeststate.MAX_LOGGED_PARTS],
             )
 
         asyncio.get_running_loop().call_later(CONFIRM_SECONDS, confirm)
@@ -147,4 +191,4 @@
 
 
 def _cause(held: quarantine.Quarantine) -> str:
-    return f"upstreams crash on prompt part {held.part_id}; quarantine {held.strikes}"
+    return f"upstreams crash on {held.part_id}; quarantine {held.strikes}"
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -6,7 +6,7 @@
 
 from coltsfoothead.daemon.gateway import ports
 from coltsfoothead.daemon.http import message
-from coltsfoothead.kernel.traffic import document, placement
+from coltsfoothead.kernel.traffic import document, placement, quarantine
 
 __all__ = ["MAX_LOGGED_PARTS", "RequestState"]
 
@@ -46,6 +46,8 @@
         Event loop time of the first event that the current attempt brought.
     attempt_sound : bool
         Whether the current attempt has got past the beginning of its answer.
+    crashed_attempts : int
+        Number of attempts whose connection the upstream closed before or at their beginning.
     may_have_run : bool
         Whether an upstream may have begun to run the request.
     usage_counted : bool
@@ -77,6 +79,7 @@
     last_event_at: float | None = None
     attempt_began_at: float | None = None
     attempt_sound: bool = False
+    crashed_attempts: int = 0
     longest_pause_seconds: float = 0.0
 
     @property
@@ -88,12 +91,13 @@
     def request_digest(self) -> str:
         """Digest of the request, which is equal for the caller's repetitions of it.
 
-        Callers give each attempt an ID and a deadline of its own, so that headers are left out.
+        Callers give each attempt an ID and a deadline of its own, and perhaps a last prompt part,
+        so that these are left out.
         """
         request = self.request
         digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
         fields = (request.method, request.header("host") or "", request.target)
-        for field in (*fields, self.organisation_name or ""):
+        for field in (*fields, self.organisation_name or "", *self.shared_part_ids):
             digest.update(field.encode() + b"\0")
         digest.update(request.body)
         return digest.hexdigest()
@@ -103,6 +107,16 @@
         """IDs of the prompt's parts that other requests may share, in order."""
         return tuple(part.id for part in self.caller_request.parts[:-1])
 
+    @property
+    def request_part_id(self) -> str:
+        """ID of the part that stands for the request as a whole."""
+        return quarantine.request_part_id(self.request_digest)
+
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """IDs of all parts to which a crash may be attributed."""
+        return (*self.shared_part_ids, self.request_part_id)
+
     @property
     def unread_tokens(self) -> int:
         """Prompt tokens that an upstream without the shared prefix has to process."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -203,7 +203,7 @@
             (not_run or state.route.idempotent)
             and state.sent_count < state.route.max_upstreams
             and remaining_seconds >= MIN_RETRY_SECONDS
-            and not self.guard.is_quarantined(state.shared_part_ids)
+            and self.guard.may_be_repeated(state)
         )
 
     def record_failure(
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -17,7 +17,7 @@
     planstore,
     promptguard,
 )
-from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits
+from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits, upstreams
 
 __all__ = ["ENDED_PREFIX", "TermManager"]
 
@@ -173,22 +173,34 @@
         return exchange.DrawResponse(term.draw(request, now))
 
     def answer_probe(self, request: exchange.ProbeRequest) -> exchange.ProbeResponse:
-        """Answers an entry's request to probe a prompt part."""
+        """Answers an entry's request to probe a part, or to try a request."""
         term, now = self.current, clock.steady()
         if term is None or not term.lease.valid(now):
             return exchange.ProbeResponse(None)
-        return exchange.ProbeResponse(term.crash_attribution.grant_probe(request.part_id, now))
+        crashed = term.crash_attribution.crashed_upstreams()
+        serving = sum(
+            each.service == request.service
+            and each.state is upstreams.State.READY
+            and quarantine.upstream_key(each) not in crashed
+            for each in term.directory.records
+        )
+        granted = term.crash_attribution.grant_probe(request.part_id, now, serving)
+        return exchange.ProbeResponse(granted)
 
     def _begin_term(self, term_number: int) -> None:
         self._term_number = term_number
         now = clock.steady()
         leadership_id = f"{self._replica}/{term_number}"
         inherited = self._directory_copy.records
-        upstreams = directory.Directory(
+        upstream_directory = directory.Directory(
             leadership_id, self._announcement_interval_seconds, inherited, now
         )
         self._current = leadership.Leadership(
-            upstreams, self._lease_seconds, self._tolerance, self._quarantines, self._limits
+            upstream_directory,
+            self._lease_seconds,
+            self._tolerance,
+            self._quarantines,
+            self._limits,
         )
         self._log_read = False
         self._events.write("leading", term=term_number, upstreams=len(inherited))
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
@@ -1,7 +1,7 @@
-"""Attribution of crashes of upstreams to the prompt parts on which they began an answer."""
+"""Attribution of crashes of upstreams to the parts and requests whose answers they began."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from coltsfoothead.kernel.traffic import quarantine
 
@@ -14,13 +14,25 @@
 EPISODE_SECONDS = 0.1
 # Crashes from which all parts are quarantined that occurred in the same ones.
 INSEPARABLE_CRASHES = 4
-# Length of the first quarantine of a part, and the longest one; each further one is twice as long.
+# Length of the first quarantine of a part, and the longest one.
 FIRST_QUARANTINE_SECONDS = 30.0
 MAX_QUARANTINE_SECONDS = 600.0
+# By whether the part is a request: factor by which each further quarantine is longer. Callers go on
+# sending a request that crashes upstreams, and each probe of it costs one more.
+_QUARANTINE_GROWTH = {False: 2.0, True: 20.0}
 # A probe without an outcome after this time is lost, and another one may be sent.
 PROBE_TIMEOUT_SECONDS = 20.0
+# Crashes without an answer in between after which each attempt of a request is a trial.
+TRIAL_CRASHES = 2
+# A trial without an outcome after this time is lost, and another one may be sent.
+TRIAL_TIMEOUT_SECONDS = 3.0
+# Upstreams of the service that must serve, so that a trial or probe does not crash the last one.
+MIN_SERVING_UPSTREAMS = 2
 # Bound of the messages that callers can cause.
 MAX_SUSPECTS = 128
+MAX_TRIALS = 128
+# Time for which the lists of suspects and trials hold.
+LISTS_SECONDS = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,8 +43,9 @@
     episodes: int
 
 
-# By whether an answer on the part has begun within `START_RETENTION_SECONDS`.
+# By whether an answer on a shared part has begun within `START_RETENTION_SECONDS`.
 _THRESHOLDS = {False: _Threshold(3, 2), True: _Threshold(5, 4)}
+_REQUEST_THRESHOLD = _Threshold(3, 2)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +68,9 @@
         self._crashes: dict[str, dict[str, _HeardCrash]] = {}
         self._starts: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
+        self._tried_at: dict[str, float] = {}
+        self._lists: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
+        self._listed_at = float("-inf")
 
     def record(self, report: quarantine.PartReport, now: float) -> None:
         """Adds the report of an entry."""
@@ -67,7 +83,10 @@
 
     def decisions(self, now: float) -> quarantine.PartDecisions:
         """Returns the answer for the entries and for the other control processes."""
-        return quarantine.PartDecisions(self._suspects(now), self._table.states(now))
+        if not 0 <= now - self._listed_at < LISTS_SECONDS:
+            self._lists, self._listed_at = (self._suspects(now), self._trials(now)), now
+        suspects, trials = self._lists
+        return quarantine.PartDecisions(suspects, self._table.states(now), trials)
 
     def _suspects(self, now: float) -> tuple[str, ...]:
         """Returns the parts whose starts decide, those with the most crashes first."""
@@ -75,6 +94,23 @@
         by_crashes = sorted(self._crashes, key=lambda each: -len(self._crashes[each]))
         return tuple(dict.fromkeys([*quarantined, *by_crashes]))[:MAX_SUSPECTS]
 
+    def _trials(self, now: float) -> tuple[str, ...]:
+        """Returns the requests that need permission, those with the most crashes first."""
+        if not self._crashes:
+            return ()
+        explained = self._explained(now)
+        counts = {
+            part_id: len(self._pending(part_id, explained))
+            for part_id in self._crashes
+            if quarantine.is_request(part_id)
+        }
+        listed = [name for name, count in counts.items() if count >= TRIAL_CRASHES]
+        return tuple(sorted(listed, key=lambda name: -counts[name])[:MAX_TRIALS])
+
+    def crashed_upstreams(self) -> set[str]:
+        """Returns the upstreams that have crashed within the retention time."""
+        return {upstream for heard in self._crashes.values() for upstream in heard}
+
     def evaluate(self, now: float) -> list[quarantine.Quarantine]:
         """Quarantines and releases parts; returns the states that changed."""
         if not self._crashes and not self._table.states(now):
@@ -86,17 +122,50 @@
                 changes.append(self._change(part_id, now, released=False))
         return changes
 
-    def grant_probe(self, part_id: str, now: float) -> bool:
-        """Returns whether one request with a part may be sent whose quarantine has run out."""
+    def grant_probe(self, part_id: str, now: float, serving: int = MIN_SERVING_UPSTREAMS) -> bool:
+        """Returns whether one request may be sent as a probe, or as a trial.
+
+        Parameters
+        ----------
+        part_id : str
+            Part whose quarantine has run out, or request that needs a trial.
+        now : float
+        serving : int
+            Upstreams of the service that are ready and have not crashed.
+        """
+        if serving < MIN_SERVING_UPSTREAMS:
+            return False
         state = self._table.state(part_id, now)
         if state is None or state.released:
-            return True
+            return self._grant_trial(part_id, now)
         probed_at = self._probed_at.get(part_id, float("-inf"))
         if state.remaining_seconds > 0 or now - probed_at < PROBE_TIMEOUT_SECONDS:
             return False
         self._probed_at[part_id] = now
         return True
 
+    def _grant_trial(self, part_id: str, now: float) -> bool:
+        """Returns whether a request may be tried: one at a time of those that share crashes.
+
+        The outcomes tell the request that crashes the upstreams from those that were beside it.
+        """
+        crashes = self._crashes.get(part_id, {})
+        if any(now - each.heard_at < SETTLE_SECONDS for each in crashes.values()):
+            return False
+        for other, tried_at in self._tried_at.items():
+            shared = other == part_id or not crashes.keys().isdisjoint(self._crashes.get(other, ()))
+            open_since = now - tried_at < TRIAL_TIMEOUT_SECONDS
+            if shared and open_since and not self._has_outcome(other, tried_at):
+                return False
+        self._tried_at[part_id] = now
+        return True
+
+    def _has_outcome(self, part_id: str, tried_at: float) -> bool:
+        """Returns whether a request has crashed an upstream, or been answered, since its trial."""
+        crashes = self._crashes.get(part_id, {}).values()
+        latest = max((each.at for each in crashes), default=float("-inf"))
+        return max(latest, self._starts.get(part_id, float("-inf"))) > tried_at
+
     def _change(self, part_id: str, now: float, released: bool) -> quarantine.Quarantine:
         known = self._table.state(part_id, now)
         revision = known.revision + 1 if known is not None else 1
@@ -104,7 +173,8 @@
         seconds = 0.0
         if not released:
             strikes += 1
-            seconds = FIRST_QUARANTINE_SECONDS * 2.0 ** min(strikes - 1, 16)
+            growth = _QUARANTINE_GROWTH[quarantine.is_request(part_id)]
+            seconds = FIRST_QUARANTINE_SECONDS * growth ** min(strikes - 1, 16)
         state = quarantine.Quarantine(
             part_id, revision, min(seconds, MAX_QUARANTINE_SECONDS), strikes, released
         )
@@ -119,7 +189,7 @@
             if state.released:
                 continue
             part_id, end = state.part_id, now + state.remaining_seconds
-            others = self._explained(now, except_part=part_id)
+            others = self._explained(now, except_parts={part_id})
             crashed_at = [
                 each.at
                 for upstream, each in self._crashes.get(part_id, {}).items()
@@ -132,37 +202,49 @@
                 changes.append(self._change(part_id, now, released=False))
         return changes
 
-    def _explained(self, now: float, except_part: str | None = None) -> set[str]:
+    def _explained(self, now: float, except_parts: Container[str] = ()) -> set[str]:
         """Returns the upstreams whose crashes are attributed to quarantined parts."""
         return {
             upstream
             for state in self._table.states(now)
-            if not state.released and state.part_id != except_part
+            if not state.released and state.part_id not in except_parts
             for upstream in self._crashes.get(state.part_id, ())
         }
 
+    def _pending(self, part_id: str, explained: Container[str]) -> dict[str, _HeardCrash]:
+        """Returns the crashes since the last answer that nothing else explains, by upstream."""
+        started_at = self._starts.get(part_id, float("-inf"))
+        return {
+            upstream: each
+            for upstream, each in self._crashes[part_id].items()
+            if upstream not in explained and each.at > started_at
+        }
+
     def _find_culprits(self, now: float) -> list[str]:
         """Returns parts to quarantine: the one with the most crashes, or several inseparable ones.
 
         Requests that wait beside the culprit share some of its crashes. Once it is quarantined,
-        these no longer count against the other parts.
+        these no longer count against the other parts. A shared part is accused only if no single
+        request has all of its crashes.
         """
-        active = sum(not state.released for state in self._table.states(now))
-        if active >= quarantine.MAX_QUARANTINES:
-            return []
+        active = [state.part_id for state in self._table.states(now) if not state.released]
+        requests = {name for name in self._crashes if quarantine.is_request(name)}
         explained = self._explained(now)
+        explained_by_parts = self._explained(now, except_parts=requests)
         cases = {}
-        for part_id, heard in self._crashes.items():
-            state = self._table.state(part_id, now)
-            if state is not None and not state.released:
+        for part_id in self._crashes.keys() - set(active):
+            is_request = part_id in requests
+            if sum(quarantine.is_request(each) == is_request for each in active) >= (
+                quarantine.MAX_QUARANTINES
+            ):
+                continue
+            pending = self._pending(part_id, explained if is_request else explained_by_parts)
+            threshold = _REQUEST_THRESHOLD if is_request else _THRESHOLDS[part_id in self._starts]
+            if not _is_conclusive(pending.values(), threshold, now):
                 continue
-            started_at = self._starts.get(part_id)
-            pending = {
-                upstream: each
-                for upstream, each in heard.items()
-                if upstream not in explained and (started_at is None or each.at > started_at)
-            }
-            if _is_conclusive(pending.values(), started_at is not None, now):
+            if is_request or not any(
+                pending.keys() <= self._crashes[each].keys() for each in requests
+            ):
                 cases[part_id] = pending.keys()
         most = max(map(len, cases.values()), default=0)
         leading = [part_id for part_id, crashed in cases.items() if len(crashed) == most]
@@ -182,11 +264,13 @@
         for part_id, at in list(self._starts.items()):
             if now - at > quarantine.START_RETENTION_SECONDS:
                 del self._starts[part_id]
+        for part_id, at in list(self._tried_at.items()):
+            if now - at > TRIAL_TIMEOUT_SECONDS:
+                del self._tried_at[part_id]
 
 
-def _is_conclusive(crashes: Iterable[_HeardCrash], started: bool, now: float) -> bool:
+def _is_conclusive(crashes: Iterable[_HeardCrash], threshold: _Threshold, now: float) -> bool:
     """Returns whether crashes without a start in between suffice to quarantine a part."""
-    threshold = _THRESHOLDS[started]
     settled = sorted(each.at for each in crashes if now - each.heard_at >= SETTLE_SECONDS)
     if len(settled) < threshold.crashes:
         return False
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/quarantine.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts on which upstreams crash.
+"""Quarantine of prompt parts, and of requests, on which upstreams crash.
 
 A part of a prompt may crash every upstream that begins an answer on it, a query of death [1]_. As
 long as callers send such requests, one upstream after another ends, and the answers that run beside
@@ -8,6 +8,11 @@
 requests until the quarantine has run out; after that single requests probe whether it still
 crashes upstreams.
 
+A request counts as one more part of itself, so that one that crashes upstreams without the help of
+a shared part is found, too. Callers repeat it with the same content, and requests of plain services
+have no other part. Before it is quarantined, the entries need the leader's permission for each
+attempt: a trial.
+
 References
 ----------
 .. [1] B. Beyer et al. (eds.), Site Reliability Engineering, O'Reilly 2016, chapter 22.
@@ -17,6 +22,8 @@
 import dataclasses
 from collections.abc import Iterable
 
+from coltsfoothead.kernel.traffic import upstreams
+
 __all__ = [
     "Crash",
     "PartDecisions",
@@ -24,8 +31,14 @@
     "PartReport",
     "Quarantine",
     "QuarantineTable",
+    "is_request",
+    "request_part_id",
+    "upstream_key",
 ]
 
+# Prefix of the part IDs that stand for whole requests. IDs that callers send have no colon.
+REQUEST_PREFIX = "request:"
+
 # Crashes and starts of answers are compared over this time. Crashes are kept longer, so that a
 # start never outlives the crashes that followed it.
 START_RETENTION_SECONDS = 60.0
@@ -34,12 +47,27 @@
 RECORD_RETENTION_SECONDS = 600.0
 # Parts with longer IDs are not observed.
 MAX_PART_ID_LENGTH = 128
-# Bounds of the memory and messages that callers can cause.
+# Bounds of the memory and messages that callers can cause, for shared parts and for requests each.
 MAX_OBSERVED_PARTS = 4096
 MAX_REPORTED_CRASHES = 256
 MAX_QUARANTINES = 64
 
 
+def upstream_key(upstream: upstreams.Upstream) -> str:
+    """Returns the name of one start of an upstream."""
+    return f"{upstream.id}/{upstream.born}"
+
+
+def request_part_id(digest: str) -> str:
+    """Returns the part ID of the request with a digest."""
+    return REQUEST_PREFIX + digest
+
+
+def is_request(part_id: str) -> bool:
+    """Returns whether a part ID stands for a whole request."""
+    return part_id.startswith(REQUEST_PREFIX)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
     """Crash of an upstream before its answer to a request with a prompt part had begun.
@@ -111,10 +139,13 @@
     suspects : tuple of str
         Parts whose starts the entries should report.
     quarantines : tuple of Quarantine
+    trials : tuple of str
+        Requests that may crash upstreams, so that each attempt needs the leader's permission.
     """
 
     suspects: tuple[str, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
+    trials: tuple[str, ...] = ()
 
 
 class QuarantineTable:
@@ -144,9 +175,10 @@
         self._states.pop(state.part_id, None)
         self._states[state.part_id] = state
         self._ends[state.part_id] = now + state.remaining_seconds
-        while len(self._states) > MAX_QUARANTINES:
-            released = (name for name, each in self._states.items() if each.released)
-            dropped = next(released, next(iter(self._states)))
+        alike = [name for name in self._states if is_request(name) == is_request(state.part_id)]
+        if len(alike) > MAX_QUARANTINES:
+            released = (name for name in alike if self._states[name].released)
+            dropped = next(released, alike[0])
             del self._states[dropped], self._ends[dropped]
 
     def state(self, part_id: str, now: float) -> Quarantine | None:
@@ -172,6 +204,29 @@
         return max(active, key=lambda each: each.remaining_seconds, default=None)
 
 
+class _Observations:
+    """Crashes and starts of answers by part, the oldest ones first."""
+
+    def __init__(self) -> None:
+        self.crashes: collections.OrderedDict[tuple[str, str], float] = collections.OrderedDict()
+        self.starts: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    def record_crash(self, part_id: str, upstream: str, now: float) -> None:
+        self.crashes.setdefault((part_id, upstream), now)
+        if len(self.crashes) > MAX_REPORTED_CRASHES:
+            self.crashes.popitem(last=False)
+
+    def record_start(self, part_id: str, now: float) -> None:
+        self.starts[part_id] = now
+        self.starts.move_to_end(part_id)
+        if len(self.starts) > MAX_OBSERVED_PARTS:
+            self.starts.popitem(last=False)
+
+    def forget_old(self, now: float) -> None:
+        while self.crashes and now - next(iter(self.crashes.values())) > CRASH_RETENTION_SECONDS:
+            self.crashes.popitem(last=False)
+
+
 class PartObserver:
     """What one entry has seen of prompt parts: crashes, and answers that have begun.
 
@@ -183,44 +238,52 @@
 
     def __init__(self, table: QuarantineTable) -> None:
         self._table = table
-        self._crashes: collections.OrderedDict[tuple[str, str], float] = collections.OrderedDict()
-        self._starts: collections.OrderedDict[str, float] = collections.OrderedDict()
+        # By whether the part is a request: requests are far more and must not displace the parts.
+        self._observations = {False: _Observations(), True: _Observations()}
         self._suspects: frozenset[str] = frozenset()
+        self._trials: frozenset[str] = frozenset()
 
     def record_crash(self, part_ids: Iterable[str], upstream: str, now: float) -> None:
         """Records the crash of an upstream before its answer on the parts had begun."""
         for part_id in part_ids:
             if len(part_id) <= MAX_PART_ID_LENGTH:
-                self._crashes.setdefault((part_id, upstream), now)
-        while len(self._crashes) > MAX_REPORTED_CRASHES:
-            self._crashes.popitem(last=False)
+                self._observations[is_request(part_id)].record_crash(part_id, upstream, now)
 
     def record_start(self, part_ids: Iterable[str], now: float) -> None:
         """Records that an answer on the parts has begun."""
         for part_id in part_ids:
-            self._starts[part_id] = now
-            self._starts.move_to_end(part_id)
-        while len(self._starts) > MAX_OBSERVED_PARTS:
-            self._starts.popitem(last=False)
+            self._observations[is_request(part_id)].record_start(part_id, now)
+
+    def needs_trial(self, part_id: str) -> bool:
+        """Returns whether a request may be sent with the leader's permission only."""
+        return part_id in self._trials
 
     def receive(self, decisions: PartDecisions, now: float) -> list[Quarantine]:
         """Applies the leader's answer; returns the quarantines that are new."""
         self._suspects = frozenset(decisions.suspects)
+        self._trials = frozenset(decisions.trials)
         return self._table.merge(decisions.quarantines, now)
 
     def report(self, now: float) -> PartReport:
         """Returns the report for the leader."""
-        while self._crashes and now - next(iter(self._crashes.values())) > CRASH_RETENTION_SECONDS:
-            self._crashes.popitem(last=False)
+        for each in self._observations.values():
+            each.forget_old(now)
         crashes = tuple(
-            Crash(part_id, upstream, now - at) for (part_id, upstream), at in self._crashes.items()
+            Crash(part_id, upstream, now - at)
+            for each in self._observations.values()
+            for (part_id, upstream), at in each.crashes.items()
         )
         return PartReport(crashes, self._start_ages(now), self._table.states(now))
 
     def _start_ages(self, now: float) -> dict[str, float]:
-        suspects = self._suspects | {part_id for part_id, _ in self._crashes}
-        ages = {name: now - self._starts[name] for name in suspects if name in self._starts}
-        return {name: age for name, age in ages.items() if age <= START_RETENTION_SECONDS}
+        suspects = set(self._suspects)
+        for each in self._observations.values():
+            suspects.update(part_id for part_id, _ in each.crashes)
+        started_at = (
+            (name, self._observations[is_request(name)].starts.get(name, float("-inf")))
+            for name in suspects
+        )
+        return {name: now - at for name, at in started_at if now - at <= START_RETENTION_SECONDS}
 
 
 def _precedence(state: Quarantine) -> tuple[int, bool]:
