Keep suspected requests under trial beside others and through restarts

Change: a request stays under trial whatever explains its crashes, and one more crash without the other request is enough to quarantine it. Entries keep a request on trial for 2 s after it was last listed, and adopt and report the crashes under listed ones.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
@@ -72,7 +72,7 @@
         """
         return (
             state.crashed_attempts < MAX_CRASHED_ATTEMPTS
-            and not self._observer.needs_trial(state.request_part_id)
+            and not self._observer.needs_trial(state.request_part_id, clock.steady())
             and self._table.active(state.part_ids, clock.steady()) is None
         )
 
@@ -115,7 +115,7 @@
 
     async def _ensure_trial_granted(self, state: requeststate.RequestState) -> None:
         part_id = state.request_part_id
-        if not self._observer.needs_trial(part_id):
+        if not self._observer.needs_trial(part_id, clock.steady()):
             return
         if await self._request_probe(part_id, state.service):
             self._events.write("request_tried", id=state.caller_request.id, part=part_id)
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
@@ -86,7 +86,12 @@
         if not 0 <= now - self._listed_at < LISTS_SECONDS:
             self._lists, self._listed_at = (self._suspects(now), self._trials(now)), now
         suspects, trials = self._lists
-        return quarantine.PartDecisions(suspects, self._table.states(now), trials)
+        trial_crashes = tuple(
+            quarantine.Crash(part_id, upstream, now - each.at)
+            for part_id in trials
+            for upstream, each in self._crashes.get(part_id, {}).items()
+        )
+        return quarantine.PartDecisions(suspects, self._table.states(now), trial_crashes)
 
     def _suspects(self, now: float) -> tuple[str, ...]:
         """Returns the parts whose starts decide, those with the most crashes first."""
@@ -98,9 +103,8 @@
         """Returns the requests that need permission, those with the most crashes first."""
         if not self._crashes:
             return ()
-        explained = self._explained(now)
         counts = {
-            part_id: len(self._pending(part_id, explained))
+            part_id: len(self._pending(part_id))
             for part_id in self._crashes
             if quarantine.is_request(part_id)
         }
@@ -211,7 +215,7 @@
             for upstream in self._crashes.get(state.part_id, ())
         }
 
-    def _pending(self, part_id: str, explained: Container[str]) -> dict[str, _HeardCrash]:
+    def _pending(self, part_id: str, explained: Container[str] = ()) -> dict[str, _HeardCrash]:
         """Returns the crashes since the last answer that nothing else explains, by upstream."""
         started_at = self._starts.get(part_id, float("-inf"))
         return {
@@ -239,19 +243,25 @@
             ):
                 continue
             pending = self._pending(part_id, explained if is_request else explained_by_parts)
-            threshold = _REQUEST_THRESHOLD if is_request else _THRESHOLDS[part_id in self._starts]
-            if not _is_conclusive(pending.values(), threshold, now):
-                continue
-            if is_request or not any(
-                pending.keys() <= self._crashes[each].keys() for each in requests
-            ):
+            if is_request and pending:
+                # Its earlier crashes may be its own, too, although another request explains them:
+                # one more crash after that one was quarantined is enough.
+                is_conclusive = _is_conclusive(
+                    self._pending(part_id).values(), _REQUEST_THRESHOLD, now
+                )
+            else:
+                threshold = _THRESHOLDS[part_id in self._starts]
+                is_conclusive = _is_conclusive(pending.values(), threshold, now) and not any(
+                    pending.keys() <= self._crashes[each].keys() for each in requests
+                )
+            if is_conclusive:
                 cases[part_id] = pending.keys()
-        most = max(map(len, cases.values()), default=0)
-        leading = [part_id for part_id, crashed in cases.items() if len(crashed) == most]
-        for part_id in leading:
-            overlapping = [each for each in leading if cases[each] & cases[part_id]]
-            if len(overlapping) == 1 or most >= INSEPARABLE_CRASHES:
-                return [each for each in overlapping if cases[each] == cases[part_id]]
+        for part_id in sorted(cases, key=lambda each: -len(cases[each])):
+            own = cases[part_id]
+            rivals = [name for name in cases if len(cases[name]) >= len(own) and cases[name] & own]
+            most = max(len(cases[name]) for name in rivals)
+            if len(rivals) == 1 or most == len(own) >= INSEPARABLE_CRASHES:
+                return [name for name in rivals if cases[name] == own]
         return []
 
     def _forget_old(self, now: float) -> None:
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/quarantine.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/quarantine.py
@@ -43,6 +43,12 @@
 # start never outlives the crashes that followed it.
 START_RETENTION_SECONDS = 60.0
 CRASH_RETENTION_SECONDS = 65.0
+# Entries adopt no older crashes from the leader. Otherwise the delays of messages would keep them
+# in circulation for ever.
+ADOPTION_SECONDS = 60.0
+# Time for which a request that no leader lists any more is still sent with permission only; a new
+# leader may lack the reports about it.
+TRIAL_RETENTION_SECONDS = 2.0
 # Time after which a released quarantine, or one without requests, is forgotten.
 RECORD_RETENTION_SECONDS = 600.0
 # Parts with longer IDs are not observed.
@@ -139,13 +145,15 @@
     suspects : tuple of str
         Parts whose starts the entries should report.
     quarantines : tuple of Quarantine
-    trials : tuple of str
-        Requests that may crash upstreams, so that each attempt needs the leader's permission.
+    trial_crashes : tuple of Crash
+        Crashes under the requests whose attempts need the leader's permission. The entries report
+        them, too, so that neither a new leader nor a restart of the entries that saw them loses
+        them.
     """
 
     suspects: tuple[str, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
-    trials: tuple[str, ...] = ()
+    trial_crashes: tuple[Crash, ...] = ()
 
 
 class QuarantineTable:
@@ -241,7 +249,7 @@
         # By whether the part is a request: requests are far more and must not displace the parts.
         self._observations = {False: _Observations(), True: _Observations()}
         self._suspects: frozenset[str] = frozenset()
-        self._trials: frozenset[str] = frozenset()
+        self._trials: dict[str, float] = {}
 
     def record_crash(self, part_ids: Iterable[str], upstream: str, now: float) -> None:
         """Records the crash of an upstream before its answer on the parts had begun."""
@@ -254,14 +262,21 @@
         for part_id in part_ids:
             self._observations[is_request(part_id)].record_start(part_id, now)
 
-    def needs_trial(self, part_id: str) -> bool:
+    def needs_trial(self, part_id: str, now: float) -> bool:
         """Returns whether a request may be sent with the leader's permission only."""
-        return part_id in self._trials
+        return now - self._trials.get(part_id, float("-inf")) <= TRIAL_RETENTION_SECONDS
 
     def receive(self, decisions: PartDecisions, now: float) -> list[Quarantine]:
         """Applies the leader's answer; returns the quarantines that are new."""
         self._suspects = frozenset(decisions.suspects)
-        self._trials = frozenset(decisions.trials)
+        for part_id, listed_at in list(self._trials.items()):
+            if now - listed_at > TRIAL_RETENTION_SECONDS:
+                del self._trials[part_id]
+        for crash in decisions.trial_crashes:
+            self._trials[crash.part_id] = now
+            if crash.age_seconds <= ADOPTION_SECONDS:
+                at = now - crash.age_seconds
+                self._observations[True].record_crash(crash.part_id, crash.upstream, at)
         return self._table.merge(decisions.quarantines, now)
 
     def report(self, now: float) -> PartReport:
@@ -272,6 +287,7 @@
             Crash(part_id, upstream, now - at)
             for each in self._observations.values()
             for (part_id, upstream), at in each.crashes.items()
+            if now - at <= CRASH_RETENTION_SECONDS
         )
         return PartReport(crashes, self._start_ages(now), self._table.states(now))
 
