Tell callers when to repeat a request under which two upstreams ended

Change: the 502 of a request under which two upstreams closed their connections carries a Retry-After of 1 to 2 s, by which all entries know of the crashes and the last upstreams are spared. Callers that come back at once are still possible.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -167,7 +167,7 @@
     Attributes
     ----------
     retry_after_seconds : float or None
-        Delay after which the caller should retry; set only for requests that have not run.
+        Delay after which the caller should retry; None if it may retry at once or should not.
     """
 
     reason: RefusalReason
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
@@ -17,7 +17,8 @@
 CONFIRM_SECONDS = 0.3
 # Random part of the delay after which a caller whose prompt is quarantined should return.
 RETURN_SPREAD_SECONDS = 5.0
-# Range of that delay if another request is on trial.
+# Range of the delay after which a caller should repeat a request that is suspected of crashing
+# upstreams: by then all entries know about the crashes.
 TRIAL_RETURN_SECONDS = (1.0, 2.0)
 # Attempts of one request that may crash upstreams before it is given up.
 MAX_CRASHED_ATTEMPTS = 2
@@ -88,6 +89,13 @@
         if state is not None and state.remaining_seconds > 0:
             raise self._refusal(state)
 
+    def failure_refusal(self, state: requeststate.RequestState) -> ports.Refusal:
+        """Returns the refusal of a request that failed, and that an upstream may have run."""
+        delay_seconds = None
+        if state.crashed_attempts >= MAX_CRASHED_ATTEMPTS:
+            delay_seconds = self._rng.uniform(*TRIAL_RETURN_SECONDS)
+        return ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED, delay_seconds)
+
     async def ensure_may_be_sent(self, state: requeststate.RequestState) -> None:
         """Checks right before an attempt that no part of the prompt is quarantined.
 
@@ -109,8 +117,7 @@
             self._events.write("part_probed", id=state.caller_request.id, part=held.part_id)
             return
         if state.may_have_run:
-            refusal = ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
-            raise failures.RefusedError(refusal, _cause(held))
+            raise failures.RefusedError(self.failure_refusal(state), _cause(held))
         raise self._refusal(held)
 
     async def _ensure_trial_granted(self, state: requeststate.RequestState) -> None:
@@ -120,7 +127,7 @@
         if await self._request_probe(part_id, state.service):
             self._events.write("request_tried", id=state.caller_request.id, part=part_id)
             return
-        refusal = ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
+        refusal = self.failure_refusal(state)
         if not state.may_have_run:
             delay_seconds = self._rng.uniform(*TRIAL_RETURN_SECONDS)
             refusal = ports.Refusal(ports.RefusalReason.QUARANTINED, delay_seconds)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -180,8 +180,7 @@
         elif self.reserve_retry(state, failure.not_run):
             return
         if state.may_have_run:
-            refusal = ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
-            raise failures.RefusedError(refusal, failure.cause)
+            raise failures.RefusedError(self.guard.failure_refusal(state), failure.cause)
         raise self._admission.retryable_refusal(ports.RefusalReason.OVERLOADED, failure.cause)
 
     def can_retry(self, state: requeststate.RequestState) -> bool:
