Log the software versions of runners, and which streams callers take up

No module knew the software version that a runner announces, and the logs could not tell whether a joined stream was resumed within one answer or taken up by its caller. Announcements decode the version, which the lines upstream and request show; request also has the ID of the stream that is taken up and its last event.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -381,6 +381,9 @@
                 "organisation": state.organisation_name,
                 "document": state.document_version,
                 "upstream": state.upstream_id,
+                "version": state.upstream_version,
+                "resumed_id": state.caller_request.resumed_id,
+                "last_event_id": state.caller_request.last_event_id,
                 "sent": state.sent_count,
                 "load": (
                     dataclasses.astuple(state.upstream_load)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -71,6 +71,8 @@
         The caller's estimate of the tokens generated.
     last_event_id : str or None
         ID of the last event that the caller received of the stream that it resumes.
+    resumed_id : str or None
+        ID of the request whose answer began that stream.
     """
 
     id: str
@@ -81,6 +83,7 @@
     parts: tuple[PromptPart, ...] = ()
     expected_output_tokens: int | None = None
     last_event_id: str | None = None
+    resumed_id: str | None = None
 
     @property
     def total_tokens(self) -> int | None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -36,6 +36,8 @@
         IDs of upstreams that are not tried again.
     upstream_id : str or None
         Upstream of the last attempt.
+    upstream_version : str or None
+        Version of that upstream's software.
     upstream_load : Load or None
         Load of that upstream, as known when it was chosen.
     load_age_seconds : float or None
@@ -73,6 +75,7 @@
     may_have_run: bool = False
     usage_counted: bool = False
     upstream_id: str | None = None
+    upstream_version: str | None = None
     upstream_load: placement.Load | None = None
     load_age_seconds: float | None = None
     first_event_at: float | None = None
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -127,6 +127,7 @@
         upstream = chosen.upstream
         self._limits.take(upstream.id, clock.steady())
         state.upstream_id = upstream.id
+        state.upstream_version = upstream.version
         state.upstream_load = chosen.load
         state.load_age_seconds = self.loads.other_loads_age_seconds(clock.steady())
         state.excluded_upstreams.add(upstream.id)
@@ -413,6 +414,7 @@
             id=upstream.id,
             service=upstream.service,
             state=upstream.state.value,
+            version=upstream.version,
             zone=upstream.zone,
             born=upstream.born,
             sequence=upstream.sequence,
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/upstreams.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/upstreams.py
@@ -37,6 +37,8 @@
         Whether the cloud may reclaim its vm.
     leaves_in_seconds : float or None
         Time left until its vm is reclaimed, if known.
+    version : str
+        Version of its software; empty if it names none.
     """
 
     id: str
@@ -50,6 +52,7 @@
     warm_in_seconds: float = 0.0
     reclaimable: bool = False
     leaves_in_seconds: float | None = None
+    version: str = ""
 
     @property
     def recency_key(self) -> tuple[int, int]:
