Continue a stream only at the software version that began it

Callers got 200 and a whole answer whose first part one version had written and whose rest another.

An entry resumed a broken stream at any ready runner of the service, and an entry at which a caller took a stream up knew nothing about it.

Change: entries record the origin of each stream, its service and version, right before its first event is passed on, and report it with the next exchange until a leader has confirmed it. The leader passes the origins on to its followers and answers the entries' questions, so that they outlive all entries or a leader. Attempts after the first event, and take-ups, go to the origin's version only; a stalled stream is given up only if such a runner is left. A take-up is not refused as overload.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -7,6 +7,7 @@
     allowances,
     documentcopy,
     failures,
+    originlookup,
     ports,
     promptguard,
     requeststate,
@@ -28,6 +29,8 @@
     ports.RefusalReason.NOT_READY: (1.0, 2.0),
     # One interval of the announcements.
     ports.RefusalReason.NO_UPSTREAM: (0.5, 1.5),
+    # The same, as an upstream of the version may return.
+    ports.RefusalReason.STREAM_VERSION_GONE: (0.5, 1.5),
     # Waiting prompts are processed within about two seconds.
     ports.RefusalReason.OVERLOADED: (0.5, 2.5),
     # An empty token bucket refills at the quota's rate.
@@ -43,6 +46,7 @@
     documents : DocumentCopy
     quota_allowances : Allowances
     guard : PromptGuard
+    origins : OriginLookup
     rng : random.Random
     """
 
@@ -51,11 +55,13 @@
         documents: documentcopy.DocumentCopy,
         quota_allowances: allowances.Allowances,
         guard: promptguard.PromptGuard,
+        origins: originlookup.OriginLookup,
         rng: random.Random,
     ) -> None:
         self._documents = documents
         self._allowances = quota_allowances
         self._guard = guard
+        self._origins = origins
         self._rng = rng
         self._stopped = False
 
@@ -98,7 +104,10 @@
         timeout_seconds = route.timeout_seconds
         if caller_request.timeout_seconds is not None:
             timeout_seconds = min(timeout_seconds, caller_request.timeout_seconds)
-        service = self._choose_service(route)
+        origin = None
+        if route.kind is document.RequestKind.STREAM and caller_request.last_event_id:
+            origin = await self._origins.find(caller_request, route)
+        service = self._choose_service(route) if origin is None else origin.service
         scaling = table.routing.services[service].scaling
         state = requeststate.RequestState(
             request,
@@ -112,6 +121,7 @@
             _prompt_sizes(caller_request),
             table.routing.services[service].engine,
             scaling.boot_seconds if scaling is not None else None,
+            origin=origin,
         )
         on_routed(state)
         self._guard.ensure_admissible(state.part_ids)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -44,7 +44,7 @@
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
-from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits
+from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits, streamorigins
 
 __all__ = ["Control"]
 
@@ -111,6 +111,8 @@
         self._plans = planstore.PlanStore()
         self._quarantines = quarantine.QuarantineTable()
         self._limits = requestlimits.LimitTable()
+        self._origins = streamorigins.OriginTable()
+        self._origins_version = ("", 0)
         self._servers: list[server.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -153,6 +155,7 @@
             self._plans,
             self._quarantines,
             self._limits,
+            self._origins,
             self._quarantine_log.load,
             self._quarantine_log.record,
             self._events,
@@ -255,6 +258,10 @@
         async def probe(sender: str, payload: bytes) -> bytes:
             return exchange.encode(self._terms.answer_probe(exchange.decode_probe_request(payload)))
 
+        async def origin(sender: str, payload: bytes) -> bytes:
+            request = exchange.decode_origin_request(payload)
+            return exchange.encode(self._terms.answer_origin(request))
+
         async def announce(sender: str, payload: bytes) -> bytes:
             return b"1" if await self._api.announce_as_leader(payload) else b""
 
@@ -267,6 +274,7 @@
         self._links.serve(exchange.SYNC, sync)
         self._links.serve(exchange.DRAW, draw)
         self._links.serve(exchange.PROBE, probe)
+        self._links.serve(exchange.ORIGIN, origin)
         self._links.serve(exchange.ANNOUNCE, announce)
         self._links.serve(exchange.JOIN, join)
         self._links.serve(controlapi.READ, read)
@@ -370,6 +378,8 @@
         self._plans.receive(answer.plans, now)
         self._quarantines.merge(answer.parts.quarantines, now)
         self._limits.merge((each.limit for each in answer.limits), now)
+        self._origins.merge(answer.origins.batches, now)
+        self._origins_version = answer.origins.version
 
     def _report(self, poll: lease.PollRequest, version: tuple[str, int]) -> exchange.Report:
         return exchange.Report(
@@ -377,6 +387,7 @@
             self._settings.process.zone,
             poll,
             version,
+            origins_version=self._origins_version,
         )
 
     def _peer_seeds(self, configured: settings.Settings) -> list[str]:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -57,8 +57,15 @@
         self._leadership_id = leadership_id
         self._lost_after_seconds = LOST_AFTER_INTERVALS * announcement_interval_seconds
         self._change_number = 1
+        # Steady times of the latest announcements by service and software version.
+        self._versions: dict[tuple[str, str], float] = {}
         self._records = {name: _Record(each, now, 1) for name, each in inherited.items()}
 
+    @property
+    def leadership_id(self) -> str:
+        """ID of the leader's term."""
+        return self._leadership_id
+
     @property
     def records(self) -> list[upstreams.Upstream]:
         """The newest record of every upstream, including gone and lost ones."""
@@ -79,6 +86,7 @@
                 upstream = dataclasses.replace(upstream, state=upstreams.State.DRAINING)
         if self._address_taken(upstream):
             return False
+        self._versions[upstream.service, upstream.version] = now
         if known is not None and _stable_fields(known.upstream) == _stable_fields(upstream):
             known.upstream, known.updated_at = upstream, now
             return False
@@ -127,9 +135,22 @@
         known = self._records.get(upstream_id)
         return known.upstream.zone if known is not None else None
 
+    def versions_since(self, service: str, since: float) -> set[str]:
+        """Returns the software versions that upstreams of a service have announced since then."""
+        versions = {
+            version
+            for (name, version), announced_at in self._versions.items()
+            if name == service and announced_at >= since
+        }
+        # A silent upstream may still have served since its last announcement.
+        return versions | {each.version for each in self.records if each.service == service}
+
     def expire(self, now: float) -> list[upstreams.Upstream]:
         """Marks silent upstreams as lost, removes old tombstones; returns the lost ones."""
         lost = []
+        for key, announced_at in list(self._versions.items()):
+            if now - announced_at > TOMBSTONE_SECONDS:
+                del self._versions[key]
         for name, record in list(self._records.items()):
             silent_seconds = now - record.updated_at
             if record.upstream.state in (upstreams.State.GONE, upstreams.State.LOST):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -24,6 +24,7 @@
     leadersync,
     loads,
     metricspage,
+    originlookup,
     ports,
     promptguard,
     sending,
@@ -32,7 +33,7 @@
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import message, server
 from coltsfoothead.kernel import registry
-from coltsfoothead.kernel.traffic import document, repeats, requestlimits, usage
+from coltsfoothead.kernel.traffic import document, repeats, requestlimits, streamorigins, usage
 
 __all__ = ["Entry"]
 
@@ -94,8 +95,13 @@
         tracker = loads.LoadTracker()
         self._limits = requestlimits.EntryLimits()
         self._guard = promptguard.PromptGuard(tracker, self._request_probe, self._events, self._rng)
+        self._origins = streamorigins.EntryOrigins()
         self._admission = admission.Admission(
-            self._documents, self._allowances, self._guard, self._rng
+            self._documents,
+            self._allowances,
+            self._guard,
+            originlookup.OriginLookup(self._origins, self._ask_for_origin, self._events, self._rng),
+            self._rng,
         )
         retry_limits = configured.repeats
         self._retry_budget = repeats.RetryBudget(
@@ -123,6 +129,7 @@
             self._sender,
             self._retry_budget,
             self._usage,
+            self._origins,
             self._events,
             self._metrics,
         )
@@ -236,6 +243,7 @@
             reads=self._sender.loads.pop_prefix_reads(),
             parts=self._guard.report(),
             limits=self._limits.report(clock.steady()),
+            origins=self._origins.report(),
         )
 
     async def _draw(self, organisation: str, amount: float) -> bool | None:
@@ -266,6 +274,19 @@
             self._events.write("probe_not_granted", part=part_id, cause=str(error))
             return None
 
+    async def _ask_for_origin(self, stream_id: str, service: str) -> exchange.OriginResponse | None:
+        """Asks the leader which software version began a stream; None if no leader answers."""
+        leader = self._link.leader
+        if leader is None:
+            return None
+        payload = exchange.encode(exchange.OriginRequest(stream_id, service))
+        try:
+            answer = await self._link.call(leader, exchange.ORIGIN, payload, DRAW_TIMEOUT_SECONDS)
+            return exchange.decode_origin_response(answer)
+        except (leaderlink.LeaderUnreachableError, msgspec.MsgspecError) as error:
+            self._events.write("origin_not_answered", stream=stream_id, cause=str(error))
+            return None
+
     def _apply_answer(self, answer: exchange.Answer) -> None:
         self._allowances.renew(answer.allowances, clock.steady())
         now = clock.steady()
@@ -275,6 +296,7 @@
         self._sender.set_entry_count(answer.entries)
         self._guard.receive(answer.parts)
         self._limits.receive(answer.limits, now)
+        self._origins.confirm(answer.directory.leadership)
         table = self._documents.table
         if table is not None and table.routing.limits != self._caller_limits:
             self._caller_limits = table.routing.limits
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -10,6 +10,7 @@
     quota,
     requestlimits,
     runnerplan,
+    streamorigins,
     upstreams,
 )
 
@@ -17,6 +18,7 @@
     "ANNOUNCE",
     "DRAW",
     "JOIN",
+    "ORIGIN",
     "PROBE",
     "SYNC",
     "Announcement",
@@ -27,6 +29,9 @@
     "JoinResponse",
     "JoinRequest",
     "NotLeading",
+    "OriginRequest",
+    "OriginResponse",
+    "OriginUpdate",
     "ProbeRequest",
     "ProbeResponse",
     "Report",
@@ -37,6 +42,8 @@
     "decode_draw_response",
     "decode_join_response",
     "decode_join_request",
+    "decode_origin_request",
+    "decode_origin_response",
     "decode_probe_request",
     "decode_probe_response",
     "decode_report",
@@ -48,6 +55,7 @@
 JOIN = "gateway.join"
 DRAW = "gateway.draw"
 PROBE = "gateway.probe"
+ORIGIN = "gateway.origin"
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -81,6 +89,10 @@
         Crashes of upstreams by prompt part, and the quarantines that the sender knows.
     limits : tuple of NamedLimit
         Limits that upstreams have named, as far as the sender knows.
+    origins : tuple of OriginBatch
+        Streams that began through the sender and that the leader has not confirmed.
+    origins_version : tuple of (str, int)
+        Leadership ID and number of the newest stream that the sender, a control follower, knows.
     """
 
     sender: str
@@ -96,6 +108,22 @@
     reads: tuple[tuple[str, str], ...] = ()
     parts: quarantine.PartReport = quarantine.PartReport()
     limits: tuple[requestlimits.NamedLimit, ...] = ()
+    origins: tuple[streamorigins.OriginBatch, ...] = ()
+    origins_version: tuple[str, int] = ("", 0)
+
+
+class OriginUpdate(msgspec.Struct, frozen=True):
+    """Streams that a control follower lacks.
+
+    Parameters
+    ----------
+    version : tuple of (str, int)
+        Leadership ID and number of the newest one.
+    batches : tuple of OriginBatch
+    """
+
+    version: tuple[str, int] = ("", 0)
+    batches: tuple[streamorigins.OriginBatch, ...] = ()
 
 
 class DirectoryUpdate(msgspec.Struct, frozen=True):
@@ -143,6 +171,8 @@
         Quarantined prompt parts.
     limits : tuple of LimitShare
         Limits that upstreams have named, with the receiver's shares.
+    origins : OriginUpdate
+        Recent streams. Only control followers get them; entries ask for single ones.
     """
 
     poll: lease.PollAnswer
@@ -155,6 +185,7 @@
     plans: dict[str, runnerplan.PlanState] = {}
     parts: quarantine.PartDecisions = quarantine.PartDecisions()
     limits: tuple[requestlimits.LimitShare, ...] = ()
+    origins: OriginUpdate = OriginUpdate()
 
 
 class NotLeading(msgspec.Struct, frozen=True, tag=True):
@@ -228,6 +259,27 @@
     given: bool | None
 
 
+class OriginRequest(msgspec.Struct, frozen=True):
+    """Question of an entry which software version began a stream.
+
+    Parameters
+    ----------
+    stream_id : str
+        Empty if the caller does not name the stream.
+    service : str
+        The only service that can have begun it, or an empty string.
+    """
+
+    stream_id: str
+    service: str
+
+
+class OriginResponse(msgspec.Struct, frozen=True):
+    """Answer to an origin request; `origin` is None if the called process does not know it."""
+
+    origin: streamorigins.Origin | None
+
+
 class JoinRequest(msgspec.Struct, frozen=True):
     """Heartbeat of a control process that hosts, or wants to host, a replica of the control log."""
 
@@ -283,5 +335,7 @@
 decode_draw_response = msgspec.msgpack.Decoder(DrawResponse).decode
 decode_probe_request = msgspec.msgpack.Decoder(ProbeRequest).decode
 decode_probe_response = msgspec.msgpack.Decoder(ProbeResponse).decode
+decode_origin_request = msgspec.msgpack.Decoder(OriginRequest).decode
+decode_origin_response = msgspec.msgpack.Decoder(OriginResponse).decode
 decode_join_response = msgspec.msgpack.Decoder(JoinResponse).decode
 decode_join_request = msgspec.msgpack.Decoder(JoinRequest).decode
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -18,7 +18,7 @@
 )
 from coltsfoothead.daemon.http import errors as http_errors
 from coltsfoothead.daemon.http import message, server
-from coltsfoothead.kernel.traffic import demandmeter, document, repeats, usage
+from coltsfoothead.kernel.traffic import demandmeter, document, repeats, streamorigins, usage
 
 __all__ = ["Forwarder"]
 
@@ -56,6 +56,7 @@
     retry_budget : RetryBudget
     usage_counts : WindowCounts
         Usage of the organisations per window.
+    origins : EntryOrigins
     events : EventLog
     metrics : Metrics
     """
@@ -67,6 +68,7 @@
         sender: sending.Sender,
         retry_budget: repeats.RetryBudget,
         usage_counts: usage.WindowCounts,
+        origins: streamorigins.EntryOrigins,
         events: eventlog.EventLog,
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -75,6 +77,7 @@
         self._sender = sender
         self._retry_budget = retry_budget
         self._usage = usage_counts
+        self._origins = origins
         self._events = events
         self._metrics = metrics
         self._wall_clock = clock.WallClock()
@@ -234,6 +237,7 @@
         def begin_response() -> None:
             state.first_event_at = asyncio.get_running_loop().time()
             self._count_usage(state)
+            self._record_origin(state)
             if not caller.started:
                 caller.start_nowait(attempt.head.status, attempt.head.headers)
 
@@ -264,6 +268,13 @@
             begin_response()
             events.write_comments()
 
+    def _record_origin(self, state: requeststate.RequestState) -> None:
+        """Records what began a stream, right before its first event is passed on."""
+        if state.origin is None:
+            assert state.upstream_version is not None
+            state.origin = streamorigins.Origin(state.service, state.upstream_version)
+        self._origins.record(state.stream_id, state.origin, clock.steady())
+
     async def _pump_events(
         self,
         attempt: sending.Attempt,
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -13,6 +13,7 @@
     quarantine,
     quota,
     requestlimits,
+    streamorigins,
     usage,
 )
 
@@ -59,6 +60,10 @@
         Quarantines of prompt parts, also those of earlier terms.
     limits : LimitTable
         Limits that upstreams have named, also those heard in earlier terms.
+    origins : OriginTable
+        Origins of recent streams, also those heard in earlier terms.
+    now : float
+        Steady time at which the term begins.
     """
 
     def __init__(
@@ -68,10 +73,14 @@
         tolerance: quota.Tolerance,
         quarantines: quarantine.QuarantineTable,
         limits: requestlimits.LimitTable,
+        origins: streamorigins.OriginTable,
+        now: float,
     ) -> None:
         self._directory = upstream_directory
         self.crash_attribution = crashattribution.CrashAttribution(quarantines)
         self._limits = limits
+        self._origins = origins
+        self._began_at = now
         # Shares by upstream and entry, and when they were computed.
         self._limit_shares: dict[str, dict[str, float]] = {}
         self._limits_divided_at = float("-inf")
@@ -113,6 +122,7 @@
         reporter.report, reporter.reported_at = report, now
         self.crash_attribution.record(report.parts, now)
         self._limits.merge(report.limits, now)
+        self._origins.merge(report.origins, now)
         self._add_loads(reporter)
         for read in report.reads:
             self._last_read_number += 1
@@ -242,6 +252,31 @@
             for each in limits
         )
 
+    def origin_update(self, version: tuple[str, int]) -> exchange.OriginUpdate:
+        """Returns the streams that a control follower lacks."""
+        leadership_id = self._directory.leadership_id
+        number = version[1] if version[0] == leadership_id else 0
+        newest = (leadership_id, self._origins.number)
+        return exchange.OriginUpdate(newest, self._origins.since(number))
+
+    def origin(self, request: exchange.OriginRequest, now: float) -> streamorigins.Origin | None:
+        """Returns what began a stream, or None if that is not certain.
+
+        A stream that no process remembers has the only version of its service, if upstreams of one
+        version have announced themselves since any stream that callers still take up has begun.
+        """
+        known = self._origins.origin(request.stream_id)
+        if known is not None or not request.service:
+            return known
+        if now - self._began_at < streamorigins.RETENTION_SECONDS:
+            return None
+        versions = self._directory.versions_since(
+            request.service, now - streamorigins.RETENTION_SECONDS
+        )
+        if len(versions) != 1:
+            return None
+        return streamorigins.Origin(request.service, versions.pop())
+
     def draw(self, request: exchange.DrawRequest, now: float) -> bool:
         """Draws the units of a single request from a quota; returns whether the bucket has them."""
         bucket = self._buckets.get(request.organisation)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -159,6 +159,8 @@
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
     QUARANTINED = "quarantined"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     UPSTREAM_FAILED = "upstream_failed"
     TIMED_OUT = "timed_out"
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -6,7 +6,7 @@
 
 from coltsfoothead.daemon.gateway import ports
 from coltsfoothead.daemon.http import message
-from coltsfoothead.kernel.traffic import document, placement, quarantine
+from coltsfoothead.kernel.traffic import document, placement, quarantine, streamorigins
 
 __all__ = ["MAX_LOGGED_PARTS", "RequestState"]
 
@@ -34,6 +34,8 @@
         Number of upstreams to which the request was sent.
     excluded_upstreams : set of str
         IDs of upstreams that are not tried again.
+    origin : Origin or None
+        What began the stream, from its first event on; further attempts stay there.
     upstream_id : str or None
         Upstream of the last attempt.
     upstream_version : str or None
@@ -74,6 +76,7 @@
     excluded_upstreams: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     usage_counted: bool = False
+    origin: streamorigins.Origin | None = None
     upstream_id: str | None = None
     upstream_version: str | None = None
     upstream_load: placement.Load | None = None
@@ -85,6 +88,11 @@
     crashed_attempts: int = 0
     longest_pause_seconds: float = 0.0
 
+    @property
+    def stream_id(self) -> str:
+        """ID of the request whose answer began the stream: this one, or the one that it resumes."""
+        return self.caller_request.resumed_id or self.caller_request.id
+
     @property
     def organisation_name(self) -> str | None:
         """Name of the organisation, or None for a request without one."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -203,6 +203,7 @@
             (not_run or state.route.idempotent)
             and state.sent_count < state.route.max_upstreams
             and remaining_seconds >= MIN_RETRY_SECONDS
+            and (state.origin is None or bool(self._untried_upstreams(state)))
             and self.guard.may_be_repeated(state)
         )
 
@@ -321,14 +322,21 @@
         )
         return best_source.address
 
+    def _untried_upstreams(self, state: requeststate.RequestState) -> list[upstreams.Upstream]:
+        """Returns the upstreams that may serve a request and have not been tried for it."""
+        return [
+            each
+            for each in self._directory.ready_upstreams(state.service)
+            if each.id not in state.excluded_upstreams
+            and (state.origin is None or each.version == state.origin.version)
+        ]
+
     def _choose_candidate(
         self, state: requeststate.RequestState, prompt: placement.Prompt | None
     ) -> placement.Candidate | None:
         now = clock.steady()
         untried = [
-            each
-            for each in self._directory.ready_upstreams(state.service)
-            if each.id not in state.excluded_upstreams and self._limits.may_send(each.id, now)
+            each for each in self._untried_upstreams(state) if self._limits.may_send(each.id, now)
         ]
         due = [
             each
@@ -380,10 +388,16 @@
                 cause = f"the upstreams of {state.service} get no more than the limits they named"
                 return self._admission.retryable_refusal(ports.RefusalReason.OVERLOADED, cause)
             cause = f"no upstream of {state.service} among {len(self._directory.records)} known"
+            if state.origin is not None:
+                cause += f" has version {state.origin.version!r}"
+                return self._admission.retryable_refusal(
+                    ports.RefusalReason.STREAM_VERSION_GONE, cause
+                )
             return self._admission.retryable_refusal(
                 ports.RefusalReason.NO_UPSTREAM, cause, state.boot_seconds
             )
-        if state.sent_count:
+        if state.sent_count or state.origin is not None:
+            # The work on its answer has begun, and would be lost.
             return None
         verdict = overload.decide_admission(state.route, chosen, state.prompt)
         if verdict.admitted:
@@ -397,9 +411,7 @@
     def _has_limited_upstream(self, state: requeststate.RequestState) -> bool:
         now = clock.steady()
         return any(
-            not self._limits.may_send(each.id, now)
-            for each in self._directory.ready_upstreams(state.service)
-            if each.id not in state.excluded_upstreams
+            not self._limits.may_send(each.id, now) for each in self._untried_upstreams(state)
         )
 
     def _distance(self, zone: str) -> int:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -17,7 +17,7 @@
     planstore,
     promptguard,
 )
-from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits, upstreams
+from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits, streamorigins, upstreams
 
 __all__ = ["ENDED_PREFIX", "TermManager"]
 
@@ -54,6 +54,8 @@
         This process's copy of the quarantines.
     limits : LimitTable
         This process's copy of the limits that upstreams have named.
+    origins : OriginTable
+        This process's copy of the origins of streams.
     load_quarantines : callable
         Merges the quarantines that the log holds into this process's copy.
     record_quarantine : callable
@@ -75,6 +77,7 @@
         plans: planstore.PlanStore,
         quarantines: quarantine.QuarantineTable,
         limits: requestlimits.LimitTable,
+        origins: streamorigins.OriginTable,
         load_quarantines: Callable[[], None],
         record_quarantine: Callable[[quarantine.Quarantine], None],
         events: eventlog.EventLog,
@@ -91,6 +94,7 @@
         self._plans = plans
         self._quarantines = quarantines
         self._limits = limits
+        self._origins = origins
         self._load_quarantines = load_quarantines
         self._record_quarantine = record_quarantine
         self._events = events
@@ -163,6 +167,11 @@
             {} if report.entry else self._plans.states(now),
             term.crash_attribution.decisions(now),
             term.limit_shares(report.sender, now),
+            (
+                exchange.OriginUpdate()
+                if report.entry
+                else term.origin_update(report.origins_version)
+            ),
         )
 
     def answer_draw(self, request: exchange.DrawRequest) -> exchange.DrawResponse:
@@ -172,6 +181,13 @@
             return exchange.DrawResponse(None)
         return exchange.DrawResponse(term.draw(request, now))
 
+    def answer_origin(self, request: exchange.OriginRequest) -> exchange.OriginResponse:
+        """Answers an entry's question which software version began a stream."""
+        term, now = self.current, clock.steady()
+        if term is None or not term.lease.valid(now):
+            return exchange.OriginResponse(None)
+        return exchange.OriginResponse(term.origin(request, now))
+
     def answer_probe(self, request: exchange.ProbeRequest) -> exchange.ProbeResponse:
         """Answers an entry's request to probe a part, or to try a request."""
         term, now = self.current, clock.steady()
@@ -201,6 +217,8 @@
             self._tolerance,
             self._quarantines,
             self._limits,
+            self._origins,
+            now,
         )
         self._log_read = False
         self._events.write("leading", term=term_number, upstreams=len(inherited))
--- a/packages/daemon/tests/test_leadership.py
+++ b/packages/daemon/tests/test_leadership.py
@@ -5,7 +5,14 @@
 
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.gateway import directory, exchange, leadership
-from coltsfoothead.kernel.traffic import document, placement, quarantine, quota, requestlimits
+from coltsfoothead.kernel.traffic import (
+    document,
+    placement,
+    quarantine,
+    quota,
+    requestlimits,
+    streamorigins,
+)
 
 ORGANISATION = document.Organisation("film", (), None, document.Quota(100.0, 200.0, True))
 
@@ -25,6 +32,8 @@
             quota.Tolerance(),
             quarantine.QuarantineTable(),
             requestlimits.LimitTable(),
+            streamorigins.OriginTable(),
+            0.0,
         )
 
     def test_reads_reach_every_other_entry_once(self):
