Copy prompts between runners of one software version only

Cause: an entry let a runner fetch the KV cache of a prompt's shared part from any runner that held it, also from one of another software version, whose caches do not fit.

Change: the groups of holders that placement knows carry their version, and only a runner of the same version is a source. Without one the runner prefills the part.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -300,10 +300,11 @@
         holder_ages = self.loads.prefix_holders(prompt.shared_key, clock.steady())
         ready = {each.id: each for each in self._directory.ready_upstreams(state.service)}
         holders = {name: age for name, age in holder_ages.items() if name in ready}
+        groups = frozenset((ready[name].version, ready[name].zone) for name in holders)
         return dataclasses.replace(
             prompt,
             holders=holders,
-            holder_zones=frozenset(ready[name].zone for name in holders),
+            holder_groups=groups,
             transfer_seconds=(
                 state.engine.transfer_seconds(prompt.shared_tokens) if state.engine else None
             ),
@@ -316,7 +317,8 @@
         """Returns the address from which the chosen upstream should copy the shared prefix."""
         if prompt is None or prompt.copy_seconds(chosen) is None:
             return None
-        holder_records = [self._directory.records[name] for name in prompt.holders]
+        records = [self._directory.records[name] for name in prompt.holders]
+        holder_records = [each for each in records if each.version == chosen.version]
         best_source = min(
             holder_records, key=lambda each: (each.zone != chosen.zone, prompt.holders[each.id])
         )
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
@@ -121,8 +121,8 @@
         Tokens of the shared parts and of the rest.
     holders : mapping of str to float
         IDs of the upstreams that used the shared part lately, with the seconds since then.
-    holder_zones : frozenset of str
-        Zones of these upstreams.
+    holder_groups : frozenset of (str, str)
+        Software versions and zones of these upstreams. Only caches of one version fit.
     transfer_seconds : float or None
         Time in which the KV cache of the shared part is transferred within a zone; None if
         upstreams cannot copy it from each other.
@@ -134,7 +134,7 @@
     shared_tokens: int = 0
     own_tokens: int = 0
     holders: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    holder_zones: frozenset[str] = frozenset()
+    holder_groups: frozenset[tuple[str, str]] = frozenset()
     transfer_seconds: float | None = None
     pause_seconds: float = DEFAULT_PAUSE_SECONDS
 
@@ -152,12 +152,13 @@
         Returns
         -------
         float or None
-            None if the upstream holds the part, if no other one does, or if it prefills the part
-            sooner than a copy arrives.
+            None if the upstream holds the part, if no other one of its software version does, or if
+            it prefills the part sooner than a copy arrives.
         """
-        if self.transfer_seconds is None or not self.holders or upstream.id in self.holders:
+        zones = {zone for version, zone in self.holder_groups if version == upstream.version}
+        if self.transfer_seconds is None or not zones or upstream.id in self.holders:
             return None
-        factor = 1.0 if upstream.zone in self.holder_zones else CROSS_ZONE_COPY_FACTOR
+        factor = 1.0 if upstream.zone in zones else CROSS_ZONE_COPY_FACTOR
         seconds = COPY_QUEUE_FACTOR * (COPY_SETUP_SECONDS + factor * self.transfer_seconds)
         return seconds if seconds < self.shared_tokens / IDLE_PREFILL_TOKENS_PER_SECOND else None
 
--- a/packages/kernel/tests/test_overload.py
+++ b/packages/kernel/tests/test_overload.py
@@ -1,5 +1,6 @@
 """Tests of load shedding and placement under load patterns, without a network."""
 
+import dataclasses
 import random
 import unittest
 
@@ -19,13 +20,13 @@
 
 
 def prompt(shared_tokens, own_tokens, engine):
-    """Returns a prompt whose shared part only the upstream ``i-1`` in zone ``a`` holds."""
+    """Returns a prompt whose shared part only ``i-1`` in zone ``a`` holds, without a version."""
     return placement.Prompt(
         "part",
         shared_tokens,
         own_tokens,
         {"i-1": 2.0},
-        frozenset("a"),
+        frozenset({("", "a")}),
         engine.transfer_seconds(shared_tokens),
     )
 
@@ -183,6 +184,20 @@
         self.assertIsNone(held.copy_seconds(away.upstream))
         self.assertEqual(held.missing_tokens(away.upstream), 13_300)
 
+    def test_nothing_is_copied_from_another_software_version(self):
+        """Load pattern: a release, with the shared part at upstreams of the old version only.
+
+        Guards against KV caches that the version which gets them did not write.
+        """
+        held = prompt(5_000, 1_000, SMALL_CACHE)
+        old, new = (
+            dataclasses.replace(builders.upstream(name), version=version)
+            for name, version in (("i-2", ""), ("i-3", "v2"))
+        )
+        self.assertIsNotNone(held.copy_seconds(old))
+        self.assertIsNone(held.copy_seconds(new))
+        self.assertEqual([held.missing_tokens(each) for each in (old, new)], [0, 5_000])
+
     def test_short_parts_are_never_copied(self):
         """Load pattern: short prompts beside long ones.
 
