Keep the origins of streams through a restart of everything

Cause: the origins were in memory only, so that no process knew any stream after the restart.

Change: each control process appends new origins twice a second to one of two files in its data folder, in a thread, and reads both at its start. An origin never changes, so that old or damaged files do no harm, and what is lost stays unknown.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -36,6 +36,7 @@
     leaderlink,
     leadersync,
     metricspage,
+    originfiles,
     planstore,
     ports,
     quarantinelog,
@@ -160,6 +161,7 @@
             self._quarantine_log.record,
             self._events,
         )
+        self._origin_files.load()
         self._register_peer_methods()
         await self._links.start()
         await self._logs.start()
@@ -193,6 +195,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._logs.stop()
+        self._origin_files.close()
         await self._links.stop(0.3)
         self._client.close()
 
@@ -215,6 +218,9 @@
         own = self._settings.process
         assert own.data_folder is not None
         folder = pathlib.Path(own.data_folder)
+        self._origin_files = originfiles.OriginFiles(
+            folder / "streams", self._origins, self._events
+        )
         founders = {
             seed.rpartition(":")[0]: (leaderlink.peer_address(seed, self._settings.peers.port), "")
             for seed in self._settings.peers.seeds
@@ -321,6 +327,7 @@
             "join": self._formation.send_join_requests,
             "voters": self._formation.manage_voters,
             "peers": self._maintain_peers,
+            "streams": self._origin_files.run,
             "lease_expiry": expiry,
         }
         if self._settings.cloud is not None:
