Renew the origins of long streams, and try requests at single upstreams

Cause: an origin was forgotten 40 s after its stream had begun, also while the stream went on. Probes of prompt parts needed two serving upstreams like trials, so that a service with a single upstream never got a quarantined part back, nor a request under which it had crashed twice.

Change: entries record an origin again every 15 s while its stream goes on, and what other processes report is kept anew. The rule is in the leader's state of its term.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -250,6 +250,7 @@
             if progressed:
                 now = asyncio.get_running_loop().time()
                 state.record_event_written(now)
+                self._record_origin(state)
                 self._sender.guard.record_progress(state, now)
             return progressed
 
@@ -269,11 +270,15 @@
             events.write_comments()
 
     def _record_origin(self, state: requeststate.RequestState) -> None:
-        """Records what began a stream, right before its first event is passed on."""
+        """Records what began a stream, before its first event is passed on and while it goes on."""
+        now = clock.steady()
+        if now - state.origin_recorded_at < streamorigins.RENEWAL_SECONDS:
+            return
         if state.origin is None:
             assert state.upstream_version is not None
             state.origin = streamorigins.Origin(state.service, state.upstream_version)
-        self._origins.record(state.stream_id, state.origin, clock.steady())
+        state.origin_recorded_at = now
+        self._origins.record(state.stream_id, state.origin, now)
 
     async def _pump_events(
         self,
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -14,6 +14,7 @@
     quota,
     requestlimits,
     streamorigins,
+    upstreams,
     usage,
 )
 
@@ -21,6 +22,8 @@
 
 # Loads and demand from older reports are ignored.
 LOAD_MAX_AGE_SECONDS = 2.0
+# Upstreams of a service that must serve, so that a trial does not crash the last one.
+MIN_SERVING_UPSTREAMS = 2
 # Interval of the search for processes that have stopped reporting.
 SWEEP_INTERVAL_SECONDS = 0.1
 # Number of recent reads of shared prompt parts that are kept for the other entries; a few seconds'
@@ -252,6 +255,27 @@
             for each in limits
         )
 
+    def grant_probe(self, request: exchange.ProbeRequest, now: float) -> bool:
+        """Returns whether a request may be sent as a probe, or as a trial."""
+        can_spare = self._can_spare_upstream(request.service)
+        return self.crash_attribution.grant_probe(request.part_id, now, can_spare)
+
+    def _can_spare_upstream(self, service: str) -> bool:
+        """Returns whether upstreams are left if one crashes that serves now.
+
+        Of a service with a single upstream, that one can be spared, too.
+        """
+        crashed = self.crash_attribution.crashed_upstreams()
+        states = [
+            each.state if quarantine.upstream_key(each) not in crashed else upstreams.State.LOST
+            for each in self._directory.records
+            if each.service == service
+        ]
+        serving, lost = (
+            states.count(each) for each in (upstreams.State.READY, upstreams.State.LOST)
+        )
+        return serving >= min(MIN_SERVING_UPSTREAMS, serving + lost)
+
     def origin_update(self, version: tuple[str, int]) -> exchange.OriginUpdate:
         """Returns the streams that a control follower lacks."""
         leadership_id = self._directory.leadership_id
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
@@ -30,7 +30,7 @@
 
 
 class PromptGuard:
-    """Refuses requests with quarantined prompt parts, and observes on which parts upstreams crash.
+    """Refuses quarantined requests and prompt parts, and observes on which upstreams crash.
 
     Parameters
     ----------
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -36,6 +36,8 @@
         IDs of upstreams that are not tried again.
     origin : Origin or None
         What began the stream, from its first event on; further attempts stay there.
+    origin_recorded_at : float
+        Steady time at which the origin was recorded last.
     upstream_id : str or None
         Upstream of the last attempt.
     upstream_version : str or None
@@ -77,6 +79,7 @@
     may_have_run: bool = False
     usage_counted: bool = False
     origin: streamorigins.Origin | None = None
+    origin_recorded_at: float = float("-inf")
     upstream_id: str | None = None
     upstream_version: str | None = None
     upstream_load: placement.Load | None = None
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -17,7 +17,7 @@
     planstore,
     promptguard,
 )
-from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits, streamorigins, upstreams
+from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits, streamorigins
 
 __all__ = ["ENDED_PREFIX", "TermManager"]
 
@@ -193,15 +193,7 @@
         term, now = self.current, clock.steady()
         if term is None or not term.lease.valid(now):
             return exchange.ProbeResponse(None)
-        crashed = term.crash_attribution.crashed_upstreams()
-        serving = sum(
-            each.service == request.service
-            and each.state is upstreams.State.READY
-            and quarantine.upstream_key(each) not in crashed
-            for each in term.directory.records
-        )
-        granted = term.crash_attribution.grant_probe(request.part_id, now, serving)
-        return exchange.ProbeResponse(granted)
+        return exchange.ProbeResponse(term.grant_probe(request, now))
 
     def _begin_term(self, term_number: int) -> None:
         self._term_number = term_number
--- a/packages/daemon/tests/test_leadership.py
+++ b/packages/daemon/tests/test_leadership.py
@@ -1,5 +1,6 @@
 """Tests of the totals that the leader computes from the entries' reports."""
 
+import dataclasses
 import random
 import unittest
 
@@ -12,6 +13,7 @@
     quota,
     requestlimits,
     streamorigins,
+    upstreams,
 )
 
 ORGANISATION = document.Organisation("film", (), None, document.Quota(100.0, 200.0, True))
@@ -25,9 +27,9 @@
 
 class LeadershipTest(unittest.TestCase):
     def setUp(self):
-        upstreams = directory.Directory("a/1", 1.0, {}, 0.0)
+        self.directory = directory.Directory("a/1", 1.0, {}, 0.0)
         self.term = leadership.Leadership(
-            upstreams,
+            self.directory,
             4.0,
             quota.Tolerance(),
             quarantine.QuarantineTable(),
@@ -36,6 +38,42 @@
             0.0,
         )
 
+    def grant(self, upstream_ids, crashed):
+        """Announces upstreams of a service, reports crashes under a request and asks to try it."""
+        for number, name in enumerate(upstream_ids):
+            self.directory.announce(
+                upstreams.Upstream(name, "s", f"h:{number}", "z", 1, upstreams.State.READY), 1.0
+            )
+        crashes = tuple(quarantine.Crash("request:1", f"{name}/0", 0.0) for name in crashed)
+        self.term.record_report(report("a", parts=quarantine.PartReport(crashes)), 1.0)
+        return self.term.grant_probe(exchange.ProbeRequest("request:1", "s"), 2.0)
+
+    def test_a_trial_spares_the_last_upstream(self):
+        """Guards against a suspected request that ends the only upstream left of a service."""
+        self.assertFalse(self.grant(("i-1", "i-2", "i-3"), ("i-1", "i-2")))
+
+    def test_a_trial_is_granted_while_others_serve(self):
+        """Guards against withholding a sound request that was beside crashes."""
+        self.assertTrue(self.grant(("i-1", "i-2", "i-3", "i-4"), ("i-1", "i-2")))
+
+    def test_a_trial_of_a_service_with_one_upstream(self):
+        """Guards against requests that such a service never gets again."""
+        self.assertTrue(self.grant(("i-1",), ()))
+
+    def test_an_origin_that_nobody_remembers(self):
+        """Guards against guessing the version of a stream, and against refusing a certain one."""
+        request = exchange.OriginRequest("lost", "s")
+        later = streamorigins.RETENTION_SECONDS + 1.0
+        old = upstreams.Upstream(
+            "i-1", "s", "h:1", "z", 1, upstreams.State.READY, born=1, version="v1"
+        )
+        self.directory.announce(old, 0.0)
+        self.assertIsNone(self.term.origin(request, 1.0), "the term has just begun")
+        self.directory.announce(old, later - 1.0)
+        self.assertEqual(self.term.origin(request, later), streamorigins.Origin("s", "v1"))
+        self.directory.announce(dataclasses.replace(old, born=2, version="v2"), later)
+        self.assertIsNone(self.term.origin(request, later + 1.0), "v1 has just served")
+
     def test_reads_reach_every_other_entry_once(self):
         """Guards against entries that do not know which upstream holds a prompt part.
 
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/crashattribution.py
@@ -26,8 +26,6 @@
 TRIAL_CRASHES = 2
 # A trial without an outcome after this time is lost, and another one may be sent.
 TRIAL_TIMEOUT_SECONDS = 3.0
-# Upstreams of the service that must serve, so that a trial or probe does not crash the last one.
-MIN_SERVING_UPSTREAMS = 2
 # Bound of the messages that callers can cause.
 MAX_SUSPECTS = 128
 MAX_TRIALS = 128
@@ -126,7 +124,7 @@
                 changes.append(self._change(part_id, now, released=False))
         return changes
 
-    def grant_probe(self, part_id: str, now: float, serving: int = MIN_SERVING_UPSTREAMS) -> bool:
+    def grant_probe(self, part_id: str, now: float, can_spare: bool = True) -> bool:
         """Returns whether one request may be sent as a probe, or as a trial.
 
         Parameters
@@ -134,14 +132,12 @@
         part_id : str
             Part whose quarantine has run out, or request that needs a trial.
         now : float
-        serving : int
-            Upstreams of the service that are ready and have not crashed.
+        can_spare : bool
+            Whether the service goes on if a trial crashes one of its upstreams.
         """
-        if serving < MIN_SERVING_UPSTREAMS:
-            return False
         state = self._table.state(part_id, now)
         if state is None or state.released:
-            return self._grant_trial(part_id, now)
+            return can_spare and self._grant_trial(part_id, now)
         probed_at = self._probed_at.get(part_id, float("-inf"))
         if state.remaining_seconds > 0 or now - probed_at < PROBE_TIMEOUT_SECONDS:
             return False
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/streamorigins.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/streamorigins.py
@@ -11,10 +11,19 @@
 import dataclasses
 from collections.abc import Iterable, Iterator
 
-__all__ = ["RETENTION_SECONDS", "EntryOrigins", "Origin", "OriginBatch", "OriginTable"]
-
-# Callers give their streams up long before; an origin that is heard again is kept anew.
+__all__ = [
+    "RENEWAL_SECONDS",
+    "RETENTION_SECONDS",
+    "EntryOrigins",
+    "Origin",
+    "OriginBatch",
+    "OriginTable",
+]
+
+# Time for which an origin is kept after it was recorded last. Entries record it anew while a stream
+# goes on, and callers give up a stream that broke off long before.
 RETENTION_SECONDS = 40.0
+RENEWAL_SECONDS = 15.0
 # Bound of the memory that callers can cause; at 1000 streams a second it holds them for a minute.
 MAX_ORIGINS = 65536
 
@@ -71,11 +80,10 @@
         self._forget_old(now)
 
     def merge(self, batches: Iterable[OriginBatch], now: float) -> None:
-        """Records the streams that another process knows and this one lacks."""
+        """Records the streams that another process reports."""
         for batch in batches:
             for stream_id in batch.stream_ids:
-                if stream_id not in self._records:
-                    self.record(stream_id, batch.origin, now)
+                self.record(stream_id, batch.origin, now)
 
     def origin(self, stream_id: str) -> Origin | None:
         """Returns the origin of a stream, or None if it is not known."""
--- a/packages/kernel/tests/request_crash_simulation.py
+++ b/packages/kernel/tests/request_crash_simulation.py
@@ -129,7 +129,7 @@
             return
         withheld = entry.table.active((part_id,), self.now) is not None
         if not withheld and entry.observer.needs_trial(part_id, self.now):
-            withheld = not self.attribution.grant_probe(part_id, self.now, len(self.upstreams))
+            withheld = not self.attribution.grant_probe(part_id, self.now, len(self.upstreams) > 1)
         if withheld:
             self.refused += not attempt.bad
             return
