Log how long ago an entry had contact with an upstream and with its service

Contact is recorded by the HTTP client for each address, when a connection opens and when data arrives.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import h11
 
@@ -227,10 +227,19 @@
             cause=failure.cause,
             closed=failure.closed,
             began=state.attempt_began_at is not None,
+            contact_s=self._contact_age_seconds([upstream] if upstream is not None else []),
+            service_contact_s=self._contact_age_seconds(
+                self._directory.ready_upstreams(state.service)
+            ),
             digest=state.request_digest,
             parts=state.shared_part_ids[: requeststate.MAX_LOGGED_PARTS],
         )
 
+    def _contact_age_seconds(self, candidates: Sequence[upstreams.Upstream]) -> float | None:
+        """Returns the time since any of some upstreams sent this entry data, or accepted it."""
+        ages = [self._client.contact_age_seconds(each.address) for each in candidates]
+        return min((round(age, 2) for age in ages if age is not None), default=None)
+
     async def _send(
         self,
         state: requeststate.RequestState,
--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -16,6 +16,8 @@
 # connection this much earlier.
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
 
+# Addresses whose last contact is remembered.
+MAX_ENDPOINTS = 4096
 # Unrelated responses that are skipped before the response to one request, and their largest body.
 MAX_SKIPPED_RESPONSES = 4
 MAX_SKIPPED_BYTES = 1024 * 1024
@@ -131,6 +133,22 @@
         self._connect_seconds = connect_seconds
         self._preserve_host = preserve_host
         self._idle: dict[str, collections.deque[connection_module.Connection]] = {}
+        self._endpoints: collections.OrderedDict[str, connection_module.Endpoint] = (
+            collections.OrderedDict()
+        )
+
+    def contact_age_seconds(self, address: str) -> float | None:
+        """Returns the time since an address accepted a connection or sent data last.
+
+        Returns
+        -------
+        float or None
+            None if it never did, or too long ago to be remembered.
+        """
+        endpoint = self._endpoints.get(address)
+        if endpoint is None or endpoint.contact_at == float("-inf"):
+            return None
+        return asyncio.get_running_loop().time() - endpoint.contact_at
 
     async def send(
         self,
@@ -241,15 +259,24 @@
         self._idle.pop(address, None)
         return None
 
+    def _endpoint(self, address: str) -> connection_module.Endpoint:
+        endpoint = self._endpoints.setdefault(address, connection_module.Endpoint())
+        self._endpoints.move_to_end(address)
+        if len(self._endpoints) > MAX_ENDPOINTS:
+            self._endpoints.popitem(last=False)
+        return endpoint
+
     async def _connect(self, address: str) -> connection_module.Connection:
         host, _, port = address.rpartition(":")
+        endpoint = self._endpoint(address)
         try:
             async with asyncio.timeout(self._connect_seconds):
                 _, connection = await asyncio.get_running_loop().create_connection(
-                    connection_module.Connection, host.strip("[]"), int(port)
+                    lambda: connection_module.Connection(endpoint), host.strip("[]"), int(port)
                 )
         except (OSError, TimeoutError) as error:
-            raise errors.ConnectError(f"{address}: {error or 'timed out'}") from error
+            # The text of a `TimeoutError` is empty.
+            raise errors.ConnectError(f"{address}: {str(error) or 'timed out'}") from error
         connection.enable_keepalive_probes()
         return connection
 
--- a/packages/daemon/src/coltsfoothead/daemon/http/connection.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/connection.py
@@ -1,6 +1,7 @@
 """One client connection: parses received responses and passes their bodies on as they arrive."""
 
 import asyncio
+import dataclasses
 import socket
 from collections.abc import Callable
 
@@ -8,7 +9,7 @@
 
 from coltsfoothead.daemon.http import errors
 
-__all__ = ["DEFAULT_KEEP_ALIVE_SECONDS", "Connection"]
+__all__ = ["DEFAULT_KEEP_ALIVE_SECONDS", "Connection", "Endpoint"]
 
 READ_BYTES = 64 * 1024
 # Shorter than the keep-alive time of common servers (5 s or more), so that the client closes first.
@@ -31,15 +32,33 @@
 _TRAILING_DATA_BETWEEN_CHUNKS = (b"\r\n", False)
 
 
+@dataclasses.dataclass(slots=True)
+class Endpoint:
+    """What all connections to one address have in common.
+
+    Attributes
+    ----------
+    contact_at : float
+        Event loop time at which a connection was opened or data arrived last.
+    """
+
+    contact_at: float = float("-inf")
+
+
 class Connection(asyncio.Protocol):
     """One open connection.
 
     Received data is parsed at once and passed to the sink while `pump` runs; otherwise it stays
     buffered in the parser until the next event is read.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
     """
 
-    def __init__(self) -> None:
+    def __init__(self, endpoint: Endpoint) -> None:
         self._loop = asyncio.get_running_loop()
+        self._endpoint = endpoint
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._write_resumed: asyncio.Future[None] | None = None
@@ -64,9 +83,11 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport."""
         self._transport = transport
+        self._endpoint.contact_at = self._loop.time()
 
     def data_received(self, data: bytes) -> None:
         """Parses received data, and passes it to the sink while `pump` runs."""
+        self._endpoint.contact_at = self._loop.time()
         if not self.idle:
             self.protocol.receive_data(data)
         if self._sink is not None:
