Serve through other entries what an entry cannot reach itself

Cause: an entry could serve only over its own connections, and each request found out alone, upstream by upstream and 0.6 s each, what the entry should have known. The class is a fact about one process's own paths that neither it nor the others act on.

Change: an entry notices within about a second that it is cut off from a service, by probes started by slow or failed attempts, broken connections and silence; the request goes to the upstream chosen through another entry, which sends it or says that it has sent nothing. The leader names peers; they say themselves what they reach. What no peer reaches is refused at once (unreachable). An entry that is cut off attributes no crashes.

Ruled out: a tunnel at the level of TCP (the other entry must see answers that concern its VM), reachability reported through the leader (late beside elections), balancing callers away by readiness (open connections stay).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -29,7 +29,9 @@
     ports.RefusalReason.NOT_READY: (1.0, 2.0),
     # One interval of the announcements.
     ports.RefusalReason.NO_UPSTREAM: (0.5, 1.5),
-    # The same, as an upstream of the version may return.
+    # No entry that answers reaches the service; most partitions and pauses end within seconds.
+    ports.RefusalReason.UNREACHABLE: (0.5, 2.0),
+    # One interval of the announcements, as an upstream of the version may return.
     ports.RefusalReason.STREAM_VERSION_GONE: (0.5, 1.5),
     # Waiting prompts are processed within about two seconds.
     ports.RefusalReason.OVERLOADED: (0.5, 2.5),
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -25,15 +25,25 @@
     loads,
     metricspage,
     originlookup,
+    pathmonitor,
     ports,
     promptguard,
+    relaying,
     sending,
     settings,
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import message, server
 from coltsfoothead.kernel import registry
-from coltsfoothead.kernel.traffic import document, repeats, requestlimits, streamorigins, usage
+from coltsfoothead.kernel.traffic import (
+    document,
+    peering,
+    placement,
+    repeats,
+    requestlimits,
+    streamorigins,
+    usage,
+)
 
 __all__ = ["Entry"]
 
@@ -84,7 +94,7 @@
             CLUSTER_NAME,
             self._sender_id,
             1,
-            f"{configured.process.address}:0",
+            self._peer_address(),
             LINK_SETTINGS,
             self._rng,
         )
@@ -94,7 +104,29 @@
         self._allowances = allowances.Allowances(self._rng, self._draw)
         tracker = loads.LoadTracker()
         self._limits = requestlimits.EntryLimits()
-        self._guard = promptguard.PromptGuard(tracker, self._request_probe, self._events, self._rng)
+        self._peers = peering.PeerTable(
+            placement.Distances(configured.process.zone, configured.zones).distance, self._rng
+        )
+        self._relays = relaying.RelayClient(self._links, self._peers, self._events)
+        self._paths = pathmonitor.PathMonitor(
+            self._client,
+            self._directory,
+            tracker,
+            directory.LOST_AFTER_INTERVALS * configured.announcements.interval_seconds,
+            self._relays.ask_peers,
+            self._events,
+            self._rng,
+        )
+        self._guard = promptguard.PromptGuard(
+            tracker, self._request_probe, self._paths.isolated, self._events, self._rng
+        )
+        self._relay_server = relaying.RelayServer(
+            caller_dialect,
+            self._client,
+            self._directory,
+            self._paths,
+            self._guard,
+        )
         self._origins = streamorigins.EntryOrigins()
         self._admission = admission.Admission(
             self._documents,
@@ -112,14 +144,15 @@
             caller_dialect,
             self._client,
             self._directory,
-            configured.process.zone,
-            configured.zones,
+            placement.Distances(configured.process.zone, configured.zones),
             self._retry_budget,
             self._admission,
             registry.resolve("placement", configured.placement.policy)(),
             tracker,
             self._guard,
             self._limits,
+            self._paths,
+            self._relays,
             self._events,
             self._rng,
         )
@@ -140,6 +173,9 @@
 
     async def start(self) -> None:
         """Starts the servers and the exchange with the leader."""
+        self._links.serve(relaying.PEER_STATE, self._relay_server.state)
+        self._links.serve_stream(relaying.RELAY, self._relay_server.serve)
+        await self._links.start()
         self._link = leaderlink.LeaderLink(
             self._links, self._peer_seeds(self._settings), self._events, self._rng
         )
@@ -168,11 +204,11 @@
             await self._start_server(
                 metrics, f"{self._settings.process.address}:{listen.metrics_port}"
             )
-        self._tasks.append(
-            asyncio.create_task(
-                background.keep_running("leader_sync", self._leader_sync.run, self._events)
-            )
-        )
+        work = {"leader_sync": self._leader_sync.run, "paths": self._paths.run}
+        self._tasks += [
+            asyncio.create_task(background.keep_running(name, each, self._events))
+            for name, each in work.items()
+        ]
         self._events.write("started", role="entry", zone=self._settings.process.zone)
 
     def reload(self, configured: settings.Settings) -> None:
@@ -185,25 +221,23 @@
         loop = asyncio.get_running_loop()
         grace_seconds = self._settings.stop.grace_seconds
         started_at = loop.time()
-        self._events.write(
-            "stopping", under_way=self._forwarder.in_flight, grace_seconds=grace_seconds
-        )
+        self._events.write("stopping", under_way=self._in_flight, grace_seconds=grace_seconds)
         self._draining = True
         self._forwarder.drain()
+        self._relay_server.drain()
         await asyncio.sleep(DRAIN_FRACTION * grace_seconds)
         self._admission.stop()
         self._caller_server.close_idle()
-        while (
-            self._forwarder.in_flight and loop.time() < started_at + ABORT_FRACTION * grace_seconds
-        ):
+        while self._in_flight and loop.time() < started_at + ABORT_FRACTION * grace_seconds:
             await asyncio.sleep(0.02)
-        aborted = self._forwarder.in_flight
+        aborted = self._in_flight
         await self.close()
         self._events.write("stopped", broken=aborted, seconds=round(loop.time() - started_at, 2))
 
     async def close(self) -> None:
         """Stops servers, tasks and connections without draining."""
         await asyncio.gather(*(each.stop(0.1) for each in self._servers))
+        self._paths.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -216,6 +250,14 @@
         for task in done:
             task.result()
 
+    @property
+    def _in_flight(self) -> int:
+        """Number of requests of callers and of other entries that have not been answered."""
+        return self._forwarder.in_flight + self._relay_server.in_flight
+
+    def _peer_address(self) -> str:
+        return f"{self._settings.process.address}:{self._settings.peers.port}"
+
     def _peer_seeds(self, configured: settings.Settings) -> list[str]:
         port = configured.peers.port
         return [leaderlink.peer_address(seed, port) for seed in configured.peers.seeds]
@@ -244,6 +286,8 @@
             parts=self._guard.report(),
             limits=self._limits.report(clock.steady()),
             origins=self._origins.report(),
+            address=self._peer_address(),
+            peers_digest=self._peers.digest,
         )
 
     async def _draw(self, organisation: str, amount: float) -> bool | None:
@@ -298,6 +342,9 @@
         self._guard.receive(answer.parts)
         self._limits.receive(answer.limits, now)
         self._origins.confirm(answer.directory.leadership)
+        if answer.peers is not None:
+            self._peers.set_peers(answer.peers)
+            self._link.set_entries(self._peers.addresses)
         table = self._documents.table
         if table is not None and table.routing.limits != self._caller_limits:
             self._caller_limits = table.routing.limits
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -5,6 +5,7 @@
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.kernel.traffic import (
     demandmeter,
+    peering,
     placement,
     quarantine,
     quota,
@@ -93,6 +94,10 @@
         Streams that began through the sender and that the leader has not confirmed.
     origins_version : tuple of (str, int)
         Leadership ID and number of the newest stream that the sender, a control follower, knows.
+    address : str
+        ``IP:port`` at which other entries can call the sender; empty for a control follower.
+    peers_digest : int
+        Digest of the peers that the sender knows.
     """
 
     sender: str
@@ -110,6 +115,8 @@
     limits: tuple[requestlimits.NamedLimit, ...] = ()
     origins: tuple[streamorigins.OriginBatch, ...] = ()
     origins_version: tuple[str, int] = ("", 0)
+    address: str = ""
+    peers_digest: int = 0
 
 
 class OriginUpdate(msgspec.Struct, frozen=True):
@@ -173,6 +180,8 @@
         Limits that upstreams have named, with the receiver's shares.
     origins : OriginUpdate
         Recent streams. Only control followers get them; entries ask for single ones.
+    peers : tuple of Peer or None
+        Entries that the receiver can call; None if it knows them.
     """
 
     poll: lease.PollAnswer
@@ -186,6 +195,7 @@
     parts: quarantine.PartDecisions = quarantine.PartDecisions()
     limits: tuple[requestlimits.LimitShare, ...] = ()
     origins: OriginUpdate = OriginUpdate()
+    peers: tuple[peering.Peer, ...] | None = None
 
 
 class NotLeading(msgspec.Struct, frozen=True, tag=True):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -401,6 +401,7 @@
                 "resumed_id": state.caller_request.resumed_id,
                 "last_event_id": state.caller_request.last_event_id,
                 "sent": state.sent_count,
+                "relayed": state.relayed,
                 "load": (
                     dataclasses.astuple(state.upstream_load)
                     if state.upstream_load is not None
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leaderlink.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leaderlink.py
@@ -46,6 +46,7 @@
         self._controls: tuple[str, ...] = ()
         self._leader: str | None = None
         self._replica_addresses: dict[str, str] = {}
+        self._entries: tuple[str, ...] = ()
         self._update_peers()
 
     @property
@@ -71,6 +72,11 @@
             self._replica_addresses = dict(replicas)
             self._update_peers()
 
+    def set_entries(self, addresses: Iterable[str]) -> None:
+        """Replaces the addresses of entries that this process calls."""
+        self._entries = tuple(addresses)
+        self._update_peers()
+
     def set_leader(self, leader: str | None) -> None:
         """Sets the leader's peer address; it becomes a known address if it was not one."""
         if leader is not None and leader not in self._controls + self._seeds:
@@ -114,6 +120,6 @@
             raise LeaderUnreachableError(f"{address}: {error}") from error
 
     def _update_peers(self) -> None:
-        addresses = {*self._controls, *self._seeds}
+        addresses = {*self._controls, *self._seeds, *self._entries}
         named = {f"{links_module.ADDRESS_PREFIX}{each}": each for each in addresses}
         self._links.set_peers({**named, **self._replica_addresses})
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -9,6 +9,7 @@
     crashattribution,
     demandmeter,
     document,
+    peering,
     placement,
     quarantine,
     quota,
@@ -99,6 +100,8 @@
         self._loads: dict[str, placement.Load] = {}
         self._requested_rates: dict[str, float] = {}
         self._entry_count = 0
+        self._peer_ring = peering.PeerRing(())
+        self._peer_ring_entries: frozenset[peering.Peer] = frozenset()
         self._swept_at = float("-inf")
 
     @property
@@ -190,6 +193,14 @@
                 reporter.counted = False
                 self._entry_count -= 1
                 self._add_requested_rates(reporter.requested_rates, -1)
+        entries = frozenset(
+            peering.Peer(each.report.address, each.report.zone)
+            for each in self._reporters.values()
+            if each.counted and each.report.address
+        )
+        if entries != self._peer_ring_entries:
+            self._peer_ring_entries = entries
+            self._peer_ring = peering.PeerRing(entries)
 
     def remove_silent(self, now: float, retention_seconds: float) -> None:
         """Removes processes that have not reported for `retention_seconds`.
@@ -233,6 +244,12 @@
             )
         return allowances
 
+    def peers(self, report: exchange.Report, now: float) -> tuple[peering.Peer, ...] | None:
+        """Returns the entries that an entry can call, or None if it knows them."""
+        self._exclude_silent(now)
+        peers = self._peer_ring.peers(report.address)
+        return peers if peering.digest(peers) != report.peers_digest else None
+
     def limit_shares(self, sender: str, now: float) -> tuple[requestlimits.LimitShare, ...]:
         """Returns the limits that upstreams have named, with a process's shares."""
         limits = self._limits.limits(now)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -39,6 +39,10 @@
 ]
 
 
+# Least time that is forwarded; an upstream cannot answer a request that has less.
+MIN_FORWARDED_SECONDS = 0.005
+
+
 class MalformedMessageError(errors.DaemonError):
     """A message does not have the format that its endpoint requires."""
 
@@ -156,6 +160,7 @@
     OVER_QUOTA = "over_quota"
     NOT_READY = "not_ready"
     NO_UPSTREAM = "no_upstream"
+    UNREACHABLE = "unreachable"
     OVERLOADED = "overloaded"
     STOPPING = "stopping"
     QUARANTINED = "quarantined"
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/promptguard.py
@@ -4,11 +4,12 @@
 import collections
 import random
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from coltsfoothead.daemon.gateway import clock, eventlog, failures, loads, ports, requeststate
 from coltsfoothead.kernel.traffic import quarantine, upstreams
 
-__all__ = ["PromptGuard", "log_change"]
+__all__ = ["ObservedAttempt", "PromptGuard", "log_change"]
 
 # An answer that breaks off within this time of its first event is a crash at its beginning.
 BEGINNING_SECONDS = 0.3
@@ -29,6 +30,28 @@
 MAX_ANSWERED_UPSTREAMS = 1024
 
 
+class ObservedAttempt(Protocol):
+    """What is known of an attempt at an upstream; see `requeststate.RequestState`."""
+
+    caller_request: ports.CallerRequest
+    upstream_id: str | None
+    attempt_began_at: float | None
+    attempt_sound: bool
+    crashed_attempts: int
+
+    @property
+    def request_digest(self) -> str:
+        """Digest of the request."""
+
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """IDs of all parts to which a crash may be attributed."""
+
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """IDs of the prompt's parts that other requests may share."""
+
+
 class PromptGuard:
     """Refuses quarantined requests and prompt parts, and observes on which upstreams crash.
 
@@ -38,6 +61,9 @@
     request_probe : callable
         Asks the leader whether a request may probe a part, or be tried, at the upstreams of a
         service. Returns None if no leader answers.
+    is_isolated : callable
+        Returns whether this entry seems to be cut off from a service, so that upstreams of it that
+        close their connections have not crashed.
     events : EventLog
     rng : random.Random
     """
@@ -46,11 +72,13 @@
         self,
         tracker: loads.LoadTracker,
         request_probe: Callable[[str, str], Awaitable[bool | None]],
+        is_isolated: Callable[[str], bool],
         events: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
         self._loads = tracker
         self._request_probe = request_probe
+        self._is_isolated = is_isolated
         self._events = events
         self._rng = rng
         self._table = quarantine.QuarantineTable()
@@ -133,14 +161,14 @@
             refusal = ports.Refusal(ports.RefusalReason.QUARANTINED, delay_seconds)
         raise failures.RefusedError(refusal, f"upstreams crashed under {part_id}; no trial now")
 
-    def record_progress(self, state: requeststate.RequestState, now: float) -> None:
+    def record_progress(self, state: ObservedAttempt, now: float) -> None:
         """Records that an attempt brought events at event loop time `now`."""
         began_at = state.attempt_began_at
         if state.attempt_sound or began_at is None or now - began_at < BEGINNING_SECONDS:
             return
         self.record_answer(state)
 
-    def record_answer(self, state: requeststate.RequestState) -> None:
+    def record_answer(self, state: ObservedAttempt) -> None:
         """Records that an upstream answers a request, or has answered it."""
         state.attempt_sound = True
         now = clock.steady()
@@ -151,7 +179,7 @@
         if len(self._answered_at) > MAX_ANSWERED_UPSTREAMS:
             self._answered_at.popitem(last=False)
 
-    def record_close(self, state: requeststate.RequestState, upstream: upstreams.Upstream) -> None:
+    def record_close(self, state: ObservedAttempt, upstream: upstreams.Upstream) -> None:
         """Records that an upstream closed the connection of an attempt.
 
         If that was before or at the beginning of the answer, the upstream has crashed, unless other
@@ -168,6 +196,8 @@
             has_answered = answered_at > closed_at + ANSWER_DELAY_SECONDS
             if has_answered or others & self._loads.active_requests(upstream.id):
                 return
+            if self._is_isolated(upstream.service):
+                return
             self._observer.record_crash(part_ids, quarantine.upstream_key(upstream), closed_at)
             self._events.write(
                 "upstream_crashed",
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -54,6 +54,8 @@
         Whether the current attempt has got past the beginning of its answer.
     crashed_attempts : int
         Number of attempts whose connection the upstream closed before or at their beginning.
+    relayed : bool
+        Whether the last attempt went through another entry.
     may_have_run : bool
         Whether an upstream may have begun to run the request.
     usage_counted : bool
@@ -82,6 +84,7 @@
     origin_recorded_at: float = float("-inf")
     upstream_id: str | None = None
     upstream_version: str | None = None
+    relayed: bool = False
     upstream_load: placement.Load | None = None
     load_age_seconds: float | None = None
     first_event_at: float | None = None
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -3,19 +3,20 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Mapping, Sequence
-
-import h11
+from collections.abc import Sequence
 
 from coltsfoothead.daemon.gateway import (
     admission,
+    answermatch,
     clock,
     directory,
     eventlog,
     failures,
     loads,
+    pathmonitor,
     ports,
     promptguard,
+    relaying,
     requeststate,
 )
 from coltsfoothead.daemon.http import client as http_client
@@ -28,8 +29,6 @@
 MAX_CONNECT_ATTEMPTS = 4
 # Least time until the deadline at which a retry can still succeed.
 MIN_RETRY_SECONDS = 0.1
-# Least time that is forwarded; an upstream cannot answer a request that has less.
-MIN_FORWARDED_SECONDS = 0.005
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,7 +36,7 @@
     """A request sent to one upstream whose response head has arrived."""
 
     upstream_id: str
-    answer: http_client.StreamedResponse
+    answer: http_client.StreamedResponse | relaying.RelayedResponse
     head: ports.ResponseHead
     tracked: loads.TrackedRequest
 
@@ -55,10 +54,8 @@
     dialect : CallerDialect
     client : Client
     directory_copy : DirectoryCopy
-    own_zone : str
-        Zone of this entry.
-    regions : mapping of str to str
-        Region of each zone.
+    distances : Distances
+        Distances from the zone of this entry.
     retry_budget : RetryBudget
         Budget of retries.
     request_admission : Admission
@@ -69,6 +66,10 @@
     guard : PromptGuard
     limits : EntryLimits
         Limits of the requests that upstreams have named.
+    paths : PathMonitor
+        Knows which upstreams this entry reaches.
+    relays : RelayClient
+        Passes requests to upstreams through other entries.
     events : EventLog
     rng : random.Random
     """
@@ -78,22 +79,22 @@
         dialect: ports.CallerDialect,
         client: http_client.Client,
         directory_copy: directory.DirectoryCopy,
-        own_zone: str,
-        regions: Mapping[str, str],
+        distances: placement.Distances,
         retry_budget: repeats.RetryBudget,
         request_admission: admission.Admission,
         policy: placement.Policy,
         tracker: loads.LoadTracker,
         guard: promptguard.PromptGuard,
         limits: requestlimits.EntryLimits,
+        paths: pathmonitor.PathMonitor,
+        relays: relaying.RelayClient,
         events: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
         self._dialect = dialect
         self._client = client
         self._directory = directory_copy
-        self._own_zone = own_zone
-        self._regions = regions
+        self._distances = distances
         self._retry_budget = retry_budget
         self._admission = request_admission
         self._events = events
@@ -103,6 +104,8 @@
         self.loads = tracker
         self.guard = guard
         self._limits = limits
+        self._paths = paths
+        self._relays = relays
         directory_copy.add_listener(self._on_upstream_change)
 
     def set_entry_count(self, entry_count: int) -> None:
@@ -129,6 +132,7 @@
         state.upstream_id = upstream.id
         state.upstream_version = upstream.version
         state.upstream_load = chosen.load
+        state.relayed = chosen.relayed
         state.load_age_seconds = self.loads.other_loads_age_seconds(clock.steady())
         state.excluded_upstreams.add(upstream.id)
         state.attempt_began_at = None
@@ -139,7 +143,7 @@
         tracked = self.loads.track(upstream.id, unread_tokens, state.prompt is not None)
         try:
             answer = await self._send(
-                state, upstream, last_event_id, self._kv_source_address(prompt, upstream)
+                state, chosen, last_event_id, self._kv_source_address(prompt, upstream)
             )
         except BaseException:
             tracked.end()
@@ -215,8 +219,11 @@
     ) -> None:
         """Records that the last attempt of a request failed at its upstream."""
         assert state.upstream_id is not None
-        self.loads.record_failure(state.upstream_id, clock.steady(), weight)
         upstream = self._directory.records.get(state.upstream_id)
+        if failure.sent or state.relayed:
+            self.loads.record_failure(state.upstream_id, clock.steady(), weight)
+        if failure.sent and not failure.not_run and not state.relayed and upstream is not None:
+            self._paths.record_break(upstream)
         if failure.closed and upstream is not None:
             self.guard.record_close(state, upstream)
         self._events.write(
@@ -243,63 +250,102 @@
     async def _send(
         self,
         state: requeststate.RequestState,
-        upstream: upstreams.Upstream,
+        chosen: placement.Candidate,
         last_event_id: str | None,
         kv_source_address: str | None,
-    ) -> http_client.StreamedResponse:
+    ) -> http_client.StreamedResponse | relaying.RelayedResponse:
+        upstream = chosen.upstream
         remaining_seconds = state.deadline - asyncio.get_running_loop().time()
         metadata = ports.ForwardingMetadata(
             state.organisation_name,
             upstream.id,
-            max(MIN_FORWARDED_SECONDS, remaining_seconds),
+            max(ports.MIN_FORWARDED_SECONDS, remaining_seconds),
             state.urgency if state.prompt is not None else None,
             last_event_id,
             kv_source_address,
         )
-        request = self._dialect.forward(state.request, state.caller_request, metadata)
-
-        def on_sending() -> None:
-            state.sent_count += 1
-            state.may_have_run = True
-            if state.prompt is not None and state.prompt.shared_key:
-                self.loads.record_prefix_read(state.prompt.shared_key, upstream.id, clock.steady())
-
+        send = self._send_through_peer if chosen.relayed else self._send_directly
         might_have_run = state.may_have_run
         try:
-            answer = await self._client.send(
-                upstream.address,
-                request,
-                None,
-                before_send=on_sending,
-                matches_request=lambda head, reused: self._answers_request(head, reused, state),
-            )
+            answer = await send(state, upstream, metadata)
         except http_errors.ConnectError as error:
             raise failures.AttemptFailedError(str(error), sent=False, not_run=True) from error
         except http_errors.UpstreamBrokeError as error:
-            closed = isinstance(error, http_errors.UpstreamClosedError)
+            # The end of a connection to a peer does not tell what became of the upstream.
+            closed = isinstance(error, http_errors.UpstreamClosedError) and not chosen.relayed
             raise failures.AttemptFailedError(str(error), closed=closed) from error
         if self._dialect.decode_response_head(answer.status, answer.headers).not_run:
             state.may_have_run = might_have_run
         return answer
 
-    def _answers_request(
-        self, head: h11.Response, reused: bool, state: requeststate.RequestState
-    ) -> bool:
-        """Returns whether a response belongs to a request, by the request ID that it repeats.
+    async def _send_directly(
+        self,
+        state: requeststate.RequestState,
+        upstream: upstreams.Upstream,
+        metadata: ports.ForwardingMetadata,
+    ) -> http_client.StreamedResponse:
+        """Sends a request over a connection of this entry."""
+        with self._paths.watch(upstream) as slow_connect:
+
+            def on_sending() -> None:
+                slow_connect.cancel()
+                self._record_sending(state, upstream)
+
+            return await self._client.send(
+                upstream.address,
+                self._dialect.forward(state.request, state.caller_request, metadata),
+                None,
+                before_send=on_sending,
+                matches_request=answermatch.matcher(self._dialect, state.caller_request.id),
+            )
+
+    async def _send_through_peer(
+        self,
+        state: requeststate.RequestState,
+        upstream: upstreams.Upstream,
+        metadata: ports.ForwardingMetadata,
+    ) -> relaying.RelayedResponse:
+        """Sends a request through another entry.
 
         Raises
         ------
+        ConnectError
+            If no peer has sent it.
         UpstreamBrokeError
-            If the response has no ID and the connection was used before, so that the response may
-            belong to an earlier request.
+            If a peer may have sent it.
         """
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1")) for name, value in head.headers
+        request = state.request
+        relayed = relaying.RelayRequest(
+            upstream.id,
+            upstream.born,
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            metadata.seconds_left,
+            metadata.organisation,
+            metadata.urgency,
+            metadata.last_event_id,
+            metadata.kv_source_address,
+            state.request_digest,
+            state.part_ids,
         )
-        answered_id = self._dialect.decode_response_head(head.status_code, headers).request_id
-        if answered_id is None and reused:
-            raise http_errors.UpstreamBrokeError("answer without a request ID on a used connection")
-        return answered_id is None or answered_id == state.caller_request.id
+        before = (state.sent_count, state.may_have_run)
+        try:
+            return await self._relays.send(
+                upstream.service, relayed, lambda: self._record_sending(state, upstream)
+            )
+        except relaying.NotSentError as error:
+            state.sent_count, state.may_have_run = before
+            raise http_errors.ConnectError(str(error)) from error
+
+    def _record_sending(
+        self, state: requeststate.RequestState, upstream: upstreams.Upstream
+    ) -> None:
+        state.sent_count += 1
+        state.may_have_run = True
+        if state.prompt is not None and state.prompt.shared_key:
+            self.loads.record_prefix_read(state.prompt.shared_key, upstream.id, clock.steady())
 
     def _prompt_with_holders(self, state: requeststate.RequestState) -> placement.Prompt | None:
         """Returns the prompt with the upstreams that hold its shared prefix in their KV caches."""
@@ -342,12 +388,16 @@
             and (state.origin is None or each.version == state.origin.version)
         ]
 
-    def _choose_candidate(
-        self, state: requeststate.RequestState, prompt: placement.Prompt | None
-    ) -> placement.Candidate | None:
+    def _candidates(
+        self, state: requeststate.RequestState, relayed: bool
+    ) -> list[placement.Candidate]:
+        """Returns the upstreams that may get a request directly, or through other entries."""
         now = clock.steady()
+        reaches = self._paths.needs_peer if relayed else self._paths.usable
         untried = [
-            each for each in self._untried_upstreams(state) if self._limits.may_send(each.id, now)
+            each
+            for each in self._untried_upstreams(state)
+            if self._limits.may_send(each.id, now) and reaches(each)
         ]
         due = [
             each
@@ -355,16 +405,16 @@
             if self._limits.probe_due(each.id, now)
             and self.loads.load(each.id).waiting < overload.ALWAYS_ADMITTED_WAITING
         ]
-        candidates = [
+        return [
             placement.Candidate(
                 each,
                 self.loads.load(each.id),
-                self._distance(each.zone),
+                self._distances.distance(each.zone),
                 self.loads.failure_weight(each.id, now),
+                relayed,
             )
             for each in due or untried
         ]
-        return self._policy.choose(candidates, prompt, self._rng)
 
     async def _select_upstream(
         self, state: requeststate.RequestState
@@ -378,12 +428,23 @@
         """
         while True:
             prompt = self._prompt_with_holders(state)
-            chosen = self._choose_candidate(state, prompt)
+            chosen = self._policy.choose(self._candidates(state, False), prompt, self._rng)
             refused = self._refusal(state, chosen)
+            unreachable = False
+            if refused is not None and (cut_off := self._candidates(state, True)):
+                if await self._relays.find_peers(state.service):
+                    chosen = self._policy.choose(cut_off, prompt, self._rng)
+                    refused = self._refusal(state, chosen)
+                elif chosen is None:
+                    unreachable = True
+                    refused = self._admission.retryable_refusal(
+                        ports.RefusalReason.UNREACHABLE,
+                        f"no path to the {len(cut_off)} upstreams of {state.service}",
+                    )
             if chosen is not None and refused is None:
                 return chosen, prompt
             at_limits = chosen is None and self._has_limited_upstream(state)
-            if at_limits or not await self._directory.wait_for_change():
+            if unreachable or at_limits or not await self._directory.wait_for_change():
                 assert refused is not None
                 if state.may_have_run:
                     refusal = ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
@@ -425,12 +486,6 @@
             not self._limits.may_send(each.id, now) for each in self._untried_upstreams(state)
         )
 
-    def _distance(self, zone: str) -> int:
-        if zone == self._own_zone:
-            return 0
-        same_region = self._regions.get(zone) == self._regions.get(self._own_zone)
-        return 1 if same_region else 2
-
     def _on_upstream_change(self, upstream: upstreams.Upstream) -> None:
         self._events.write(
             "upstream",
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -172,6 +172,7 @@
                 if report.entry
                 else term.origin_update(report.origins_version)
             ),
+            term.peers(report, now) if report.entry else None,
         )
 
     def answer_draw(self, request: exchange.DrawRequest) -> exchange.DrawResponse:
--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -150,6 +150,26 @@
             return None
         return asyncio.get_running_loop().time() - endpoint.contact_at
 
+    def opened_at(self, address: str) -> float | None:
+        """Returns the event loop time at which an address accepted a connection last."""
+        endpoint = self._endpoints.get(address)
+        return endpoint.opened_at if endpoint is not None else None
+
+    def has_idle(self, address: str) -> bool:
+        """Returns whether a connection that is open can be used for a request."""
+        now = asyncio.get_running_loop().time()
+        return any(now < each.idle_until and each.writable for each in self._idle.get(address, ()))
+
+    def drop_idle(self, address: str) -> None:
+        """Closes the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
+    async def check_connection(self, address: str, timeout_seconds: float) -> None:
+        """Opens a connection and closes it; raises `ConnectError` if that fails."""
+        connection = await self._connect(address, timeout_seconds)
+        connection.close()
+
     async def send(
         self,
         address: str,
@@ -189,7 +209,7 @@
         connection = None if new_connection else self._pop_idle(address)
         reused = connection is not None
         if connection is None:
-            connection = await self._connect(address)
+            connection = await self._connect(address, self._connect_seconds)
         try:
             if before_send is not None:
                 before_send()
@@ -266,17 +286,18 @@
             self._endpoints.popitem(last=False)
         return endpoint
 
-    async def _connect(self, address: str) -> connection_module.Connection:
+    async def _connect(self, address: str, timeout_seconds: float) -> connection_module.Connection:
         host, _, port = address.rpartition(":")
         endpoint = self._endpoint(address)
         try:
-            async with asyncio.timeout(self._connect_seconds):
+            async with asyncio.timeout(timeout_seconds):
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: connection_module.Connection(endpoint), host.strip("[]"), int(port)
                 )
         except (OSError, TimeoutError) as error:
             # The text of a `TimeoutError` is empty.
-            raise errors.ConnectError(f"{address}: {str(error) or 'timed out'}") from error
+            refused = isinstance(error, ConnectionError)
+            raise errors.ConnectError(f"{address}: {str(error) or 'timed out'}", refused) from error
         connection.enable_keepalive_probes()
         return connection
 
--- a/packages/daemon/src/coltsfoothead/daemon/http/connection.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/connection.py
@@ -40,9 +40,12 @@
     ----------
     contact_at : float
         Event loop time at which a connection was opened or data arrived last.
+    opened_at : float
+        Event loop time at which a connection was opened last.
     """
 
     contact_at: float = float("-inf")
+    opened_at: float = float("-inf")
 
 
 class Connection(asyncio.Protocol):
@@ -83,7 +86,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport."""
         self._transport = transport
-        self._endpoint.contact_at = self._loop.time()
+        self._endpoint.contact_at = self._endpoint.opened_at = self._loop.time()
 
     def data_received(self, data: bytes) -> None:
         """Parses received data, and passes it to the sink while `pump` runs."""
--- a/packages/daemon/src/coltsfoothead/daemon/http/errors.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/errors.py
@@ -41,7 +41,18 @@
 
 
 class ConnectError(HttpError):
-    """No connection could be opened, so no byte of the request was sent."""
+    """No connection could be opened, so no byte of the request was sent.
+
+    Parameters
+    ----------
+    cause : str
+    refused : bool
+        Whether the address refused the connection, instead of not answering.
+    """
+
+    def __init__(self, cause: str, refused: bool = False) -> None:
+        super().__init__(cause)
+        self.refused = refused
 
 
 class UpstreamBrokeError(HttpError):
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/placement.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "Candidate",
+    "Distances",
     "ExpectedStart",
     "LeastInFlight",
     "Load",
@@ -91,6 +92,27 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Distances:
+    """Distances of the zones from one of them.
+
+    Attributes
+    ----------
+    own_zone : str
+    regions : mapping of str to str
+        Region of each zone.
+    """
+
+    own_zone: str
+    regions: Mapping[str, str]
+
+    def distance(self, zone: str) -> int:
+        """Returns 0 for the own zone, 1 for others of its region, 2 for other regions."""
+        if zone == self.own_zone:
+            return 0
+        return 1 if self.regions.get(zone) == self.regions.get(self.own_zone) else 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
     """An upstream with its state as the entry knows it.
@@ -101,12 +123,15 @@
         0 in the entry's zone, 1 in another zone of its region, 2 in another region.
     failures : float
         Number of recent failures, decayed with time.
+    relayed : bool
+        Whether the entry reaches it through another entry only.
     """
 
     upstream: upstreams.Upstream
     load: Load
     distance: int
     failures: float = 0.0
+    relayed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
