Send nothing to an upstream once an answer says that it leaves

Cause: nothing read Server-Leaving; an upstream was left alone only once its announcement had come around, which may be late or never arrive, and a request could reach it seconds after its answers had said so (DRAIN).

An entry that relays for another one records it, too.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -111,6 +111,27 @@
         self._change(dataclasses.replace(known.upstream, state=upstreams.State.GONE), now)
         return True
 
+    def drain(self, upstream_id: str, born: int, now: float) -> bool:
+        """Marks an upstream as draining that said so in an answer; returns whether that is new.
+
+        Parameters
+        ----------
+        upstream_id : str
+        born : int
+            The start that ends. That of another start is ignored.
+        now : float
+        """
+        known = self._records.get(upstream_id)
+        if known is None or known.upstream.born != born:
+            return False
+        if known.upstream.state not in (upstreams.State.READY, upstreams.State.LOST):
+            return False
+        draining = dataclasses.replace(known.upstream, state=upstreams.State.DRAINING)
+        updated_at = known.updated_at
+        self._change(draining, now)
+        self._records[upstream_id].updated_at = updated_at
+        return True
+
     def add_tombstone(self, upstream_id: str, born: int, now: float) -> None:
         """Records an ended start of an upstream, of which this directory may know nothing.
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -31,6 +31,7 @@
     relaying,
     sending,
     settings,
+    upstreamnotices,
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import message, server
@@ -104,6 +105,7 @@
         self._allowances = allowances.Allowances(self._rng, self._draw)
         tracker = loads.LoadTracker()
         self._limits = requestlimits.EntryLimits()
+        self._notices = upstreamnotices.UpstreamNotices(self._events)
         self._peers = peering.PeerTable(
             placement.Distances(configured.process.zone, configured.zones).distance, self._rng
         )
@@ -126,6 +128,7 @@
             self._directory,
             self._paths,
             self._guard,
+            self._notices,
         )
         self._origins = streamorigins.EntryOrigins()
         self._admission = admission.Admission(
@@ -151,6 +154,7 @@
             tracker,
             self._guard,
             self._limits,
+            self._notices,
             self._paths,
             self._relays,
             self._events,
@@ -288,6 +292,7 @@
             origins=self._origins.report(),
             address=self._peer_address(),
             peers_digest=self._peers.digest,
+            leaving=self._notices.leaving(),
         )
 
     async def _draw(self, organisation: str, amount: float) -> bool | None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -5,6 +5,7 @@
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.kernel.traffic import (
     demandmeter,
+    departures,
     peering,
     placement,
     quarantine,
@@ -98,6 +99,8 @@
         ``IP:port`` at which other entries can call the sender; empty for a control follower.
     peers_digest : int
         Digest of the peers that the sender knows.
+    leaving : tuple of Departure
+        Upstreams that have said in an answer that they leave.
     """
 
     sender: str
@@ -117,6 +120,7 @@
     origins_version: tuple[str, int] = ("", 0)
     address: str = ""
     peers_digest: int = 0
+    leaving: tuple[departures.Departure, ...] = ()
 
 
 class OriginUpdate(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -129,6 +129,8 @@
         self.crash_attribution.record(report.parts, now)
         self._limits.merge(report.limits, now)
         self._origins.merge(report.origins, now)
+        for each in report.leaving:
+            self._directory.drain(each.upstream_id, each.born, now)
         self._add_loads(reporter)
         for read in report.reads:
             self._last_read_number += 1
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -138,6 +138,8 @@
     requests_per_second : float or None
         Limit of the requests that the upstream accepts from all entries together, while it names
         one.
+    leaving : bool
+        Whether the upstream says that it leaves.
     """
 
     status: int
@@ -146,6 +148,7 @@
     request_id: str | None
     headers: tuple[tuple[str, str], ...]
     requests_per_second: float | None = None
+    leaving: bool = False
 
 
 class RefusalReason(enum.Enum):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/relaying.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/relaying.py
@@ -21,6 +21,7 @@
     pathmonitor,
     ports,
     promptguard,
+    upstreamnotices,
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import errors as http_errors
@@ -153,6 +154,8 @@
     paths : PathMonitor
     guard : PromptGuard
         Learns of upstreams that crash under the requests.
+    notices : UpstreamNotices
+        Learns what upstreams say in their answers.
     """
 
     def __init__(
@@ -162,12 +165,14 @@
         directory_copy: directory.DirectoryCopy,
         paths: pathmonitor.PathMonitor,
         guard: promptguard.PromptGuard,
+        notices: upstreamnotices.UpstreamNotices,
     ) -> None:
         self._dialect = dialect
         self._client = client
         self._directory = directory_copy
         self._paths = paths
         self._guard = guard
+        self._notices = notices
         self._draining = False
         self._in_flight = 0
 
@@ -222,6 +227,9 @@
                         before_send=slow_connect.cancel,
                         matches_request=answermatch.matcher(self._dialect, caller_request.id),
                     )
+                self._notices.record(
+                    upstream, self._dialect.decode_response_head(answer.status, answer.headers)
+                )
                 yield Head(answer.status, answer.headers)
                 async for part in answer.chunks(None):
                     self._observe_data(attempt)
@@ -258,6 +266,8 @@
             return f"start {relayed.born} of {relayed.upstream_id} is not known"
         if upstream.state is not upstreams.State.READY:
             return f"{upstream.id} is {upstream.state.value}"
+        if self._notices.leaves(upstream):
+            return f"{upstream.id} leaves"
         if not self._paths.usable(upstream):
             return f"{upstream.id} cannot be reached from here either"
         return None
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -18,6 +18,7 @@
     promptguard,
     relaying,
     requeststate,
+    upstreamnotices,
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import errors as http_errors
@@ -66,6 +67,8 @@
     guard : PromptGuard
     limits : EntryLimits
         Limits of the requests that upstreams have named.
+    notices : UpstreamNotices
+        What upstreams have said in their answers.
     paths : PathMonitor
         Knows which upstreams this entry reaches.
     relays : RelayClient
@@ -86,6 +89,7 @@
         tracker: loads.LoadTracker,
         guard: promptguard.PromptGuard,
         limits: requestlimits.EntryLimits,
+        notices: upstreamnotices.UpstreamNotices,
         paths: pathmonitor.PathMonitor,
         relays: relaying.RelayClient,
         events: eventlog.EventLog,
@@ -104,6 +108,7 @@
         self.loads = tracker
         self.guard = guard
         self._limits = limits
+        self._notices = notices
         self._paths = paths
         self._relays = relays
         directory_copy.add_listener(self._on_upstream_change)
@@ -150,6 +155,7 @@
             raise
         head = self._dialect.decode_response_head(answer.status, answer.headers)
         self._record_limit(upstream.id, head)
+        self._notices.record(upstream, head)
         if not head.not_run:
             return Attempt(upstream.id, answer, head, tracked)
         answer.close()
@@ -385,6 +391,7 @@
             each
             for each in self._directory.ready_upstreams(state.service)
             if each.id not in state.excluded_upstreams
+            and not self._notices.leaves(each)
             and (state.origin is None or each.version == state.origin.version)
         ]
 
