Leave an upstream alone for the time that its rejection names

Change: each entry keeps the pause for the start of the upstream that asked for it, also for requests that it relays for others, and refuses at once, with the end of the first pause as time to return, when all upstreams want one. It is not reported to other entries, which the upstream may still want to serve.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -131,7 +131,11 @@
         return state
 
     def retryable_refusal(
-        self, reason: ports.RefusalReason, cause: str = "", boot_seconds: float | None = None
+        self,
+        reason: ports.RefusalReason,
+        cause: str = "",
+        least_seconds: float = 0.0,
+        most_seconds: float = 0.0,
     ) -> failures.RefusedError:
         """Returns the error for a request that has not run and that the caller may retry.
 
@@ -140,13 +144,14 @@
         reason : RefusalReason
         cause : str, optional
             Cause for the log.
-        boot_seconds : float, optional
-            Time that a runner takes to start, if the caller has to wait for one. Most runners have
-            been ordered some time ago.
+        least_seconds, most_seconds : float, optional
+            Range of the time after which the request can be served, if that is known. The usual
+            range of the reason holds as far as it lies later.
         """
         shortest, longest = RETRY_AFTER_SECONDS[reason]
-        if boot_seconds is not None:
-            shortest, longest = max(shortest, boot_seconds / 2), max(longest, boot_seconds)
+        spread = longest - shortest
+        shortest = max(shortest, least_seconds)
+        longest = max(longest, most_seconds, least_seconds + spread if not most_seconds else 0.0)
         delay_seconds = self._rng.uniform(shortest, longest)
         return failures.RefusedError(ports.Refusal(reason, delay_seconds), cause)
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -140,6 +140,8 @@
         one.
     leaving : bool
         Whether the upstream says that it leaves.
+    pause_seconds : float or None
+        Time for which the upstream, which rejects the request, wants no more of this process.
     """
 
     status: int
@@ -149,6 +151,7 @@
     headers: tuple[tuple[str, str], ...]
     requests_per_second: float | None = None
     leaving: bool = False
+    pause_seconds: float | None = None
 
 
 class RefusalReason(enum.Enum):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/relaying.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/relaying.py
@@ -268,6 +268,8 @@
             return f"{upstream.id} is {upstream.state.value}"
         if self._notices.leaves(upstream):
             return f"{upstream.id} leaves"
+        if self._notices.pauses(upstream):
+            return f"{upstream.id} wants a pause"
         if not self._paths.usable(upstream):
             return f"{upstream.id} cannot be reached from here either"
         return None
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -192,7 +192,9 @@
             return
         if state.may_have_run:
             raise failures.RefusedError(self.guard.failure_refusal(state), failure.cause)
-        raise self._admission.retryable_refusal(ports.RefusalReason.OVERLOADED, failure.cause)
+        raise self._admission.retryable_refusal(
+            ports.RefusalReason.OVERLOADED, failure.cause, self._pause_seconds(state)
+        )
 
     def can_retry(self, state: requeststate.RequestState) -> bool:
         """Returns whether a stream that an upstream no longer continues could be resumed."""
@@ -404,7 +406,7 @@
         untried = [
             each
             for each in self._untried_upstreams(state)
-            if self._limits.may_send(each.id, now) and reaches(each)
+            if self._may_send(each) and reaches(each)
         ]
         due = [
             each
@@ -464,16 +466,21 @@
         """Returns the refusal of a request that cannot be sent, or None if it can."""
         if chosen is None:
             if self._has_limited_upstream(state):
-                cause = f"the upstreams of {state.service} get no more than the limits they named"
-                return self._admission.retryable_refusal(ports.RefusalReason.OVERLOADED, cause)
+                cause = f"the upstreams of {state.service} accept no more requests for now"
+                return self._admission.retryable_refusal(
+                    ports.RefusalReason.OVERLOADED,
+                    cause,
+                    self._pause_seconds(state),
+                )
             cause = f"no upstream of {state.service} among {len(self._directory.records)} known"
             if state.origin is not None:
                 cause += f" has version {state.origin.version!r}"
                 return self._admission.retryable_refusal(
                     ports.RefusalReason.STREAM_VERSION_GONE, cause
                 )
+            boot_seconds = state.boot_seconds or 0.0
             return self._admission.retryable_refusal(
-                ports.RefusalReason.NO_UPSTREAM, cause, state.boot_seconds
+                ports.RefusalReason.NO_UPSTREAM, cause, boot_seconds / 2, boot_seconds
             )
         if state.sent_count or state.origin is not None:
             # The work on its answer has begun, and would be lost.
@@ -487,12 +494,19 @@
         )
         return self._admission.retryable_refusal(ports.RefusalReason.OVERLOADED, cause)
 
-    def _has_limited_upstream(self, state: requeststate.RequestState) -> bool:
-        now = clock.steady()
-        return any(
-            not self._limits.may_send(each.id, now) for each in self._untried_upstreams(state)
+    def _may_send(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether the upstream's own notices allow a request now."""
+        return self._limits.may_send(upstream.id, clock.steady()) and not self._notices.pauses(
+            upstream
         )
 
+    def _pause_seconds(self, state: requeststate.RequestState) -> float:
+        """Returns the time until the first upstream of a service ends the pause it asked for."""
+        return self._notices.pause_seconds(self._directory.ready_upstreams(state.service))
+
+    def _has_limited_upstream(self, state: requeststate.RequestState) -> bool:
+        return any(not self._may_send(each) for each in self._untried_upstreams(state))
+
     def _on_upstream_change(self, upstream: upstreams.Upstream) -> None:
         self._events.write(
             "upstream",
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/upstreamnotices.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/upstreamnotices.py
@@ -1,5 +1,7 @@
 """What upstreams say in their answers about requests to come, as one entry has heard it."""
 
+from collections.abc import Iterable
+
 from coltsfoothead.daemon.gateway import clock, eventlog, ports
 from coltsfoothead.kernel.traffic import departures, upstreams
 
@@ -17,6 +19,7 @@
     def __init__(self, events: eventlog.EventLog) -> None:
         self._events = events
         self._departures = departures.DepartureTable()
+        self._pauses = departures.PauseTable()
 
     def leaving(self) -> tuple[departures.Departure, ...]:
         """Returns the upstreams that have said that they leave, for the leader."""
@@ -26,7 +29,20 @@
         """Returns whether an upstream has said that it leaves."""
         return self._departures.leaves(upstream)
 
+    def pauses(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream has asked this entry for a pause that goes on."""
+        return self._pauses.remaining_seconds(upstream, clock.steady()) > 0
+
+    def pause_seconds(self, group: Iterable[upstreams.Upstream]) -> float:
+        """Returns the time until the first of some upstreams accepts requests of this entry."""
+        return self._pauses.shortest_seconds(group, clock.steady())
+
     def record(self, upstream: upstreams.Upstream, head: ports.ResponseHead) -> None:
         """Records the notices in an answer, or in one that reached another entry through this."""
         if head.leaving and self._departures.record(upstream, clock.steady()):
             self._events.write("upstream_leaving", upstream=upstream.id, born=upstream.born)
+        if head.pause_seconds:
+            self._pauses.record(upstream, head.pause_seconds, clock.steady())
+            self._events.write(
+                "upstream_pauses", upstream=upstream.id, seconds=round(head.pause_seconds, 2)
+            )
