Keep all entries together below the rejections that brittle upstreams survive

Cause: nothing read Server-Brittle. Each entry sent until it was rejected itself, and every entry found out alone that an upstream was full: several rejections a second each, all entries together far more than a brittle upstream survives (LIMIT).

Change: the notice and each rejection by a brittle upstream go with the reports and answers that carry limits already, to followers and new leaders, too.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -45,7 +45,13 @@
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import server
-from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits, streamorigins
+from coltsfoothead.kernel.traffic import (
+    brittleness,
+    quarantine,
+    quota,
+    requestlimits,
+    streamorigins,
+)
 
 __all__ = ["Control"]
 
@@ -112,6 +118,7 @@
         self._plans = planstore.PlanStore()
         self._quarantines = quarantine.QuarantineTable()
         self._limits = requestlimits.LimitTable()
+        self._brittle = brittleness.BrittleTable()
         self._origins = streamorigins.OriginTable()
         self._origins_version = ("", 0)
         self._servers: list[server.Server] = []
@@ -156,6 +163,7 @@
             self._plans,
             self._quarantines,
             self._limits,
+            self._brittle,
             self._origins,
             self._quarantine_log.load,
             self._quarantine_log.record,
@@ -385,6 +393,7 @@
         self._plans.receive(answer.plans, now)
         self._quarantines.merge(answer.parts.quarantines, now)
         self._limits.merge((each.limit for each in answer.limits), now)
+        self._brittle.merge(answer.brittle, answer.rejections, now)
         self._origins.merge(answer.origins.batches, now)
         self._origins_version = answer.origins.version
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -293,6 +293,8 @@
             address=self._peer_address(),
             peers_digest=self._peers.digest,
             leaving=self._notices.leaving(),
+            brittle=self._notices.brittle.tolerances(clock.steady()),
+            rejections=self._notices.brittle.rejections(clock.steady()),
         )
 
     async def _draw(self, organisation: str, amount: float) -> bool | None:
@@ -346,6 +348,7 @@
         self._sender.set_entry_count(answer.entries)
         self._guard.receive(answer.parts)
         self._limits.receive(answer.limits, now)
+        self._notices.brittle.merge(answer.brittle, answer.rejections, now)
         self._origins.confirm(answer.directory.leadership)
         if answer.peers is not None:
             self._peers.set_peers(answer.peers)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/exchange.py
@@ -4,6 +4,7 @@
 
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.kernel.traffic import (
+    brittleness,
     demandmeter,
     departures,
     peering,
@@ -101,6 +102,10 @@
         Digest of the peers that the sender knows.
     leaving : tuple of Departure
         Upstreams that have said in an answer that they leave.
+    brittle : tuple of NamedLimit
+        Rejections a second that brittle upstreams survive, as far as the sender knows.
+    rejections : tuple of Rejection
+        Rejections by brittle upstreams within the last moment.
     """
 
     sender: str
@@ -121,6 +126,8 @@
     address: str = ""
     peers_digest: int = 0
     leaving: tuple[departures.Departure, ...] = ()
+    brittle: tuple[requestlimits.NamedLimit, ...] = ()
+    rejections: tuple[brittleness.Rejection, ...] = ()
 
 
 class OriginUpdate(msgspec.Struct, frozen=True):
@@ -186,6 +193,8 @@
         Recent streams. Only control followers get them; entries ask for single ones.
     peers : tuple of Peer or None
         Entries that the receiver can call; None if it knows them.
+    brittle, rejections : tuple
+        As in a report.
     """
 
     poll: lease.PollAnswer
@@ -200,6 +209,8 @@
     limits: tuple[requestlimits.LimitShare, ...] = ()
     origins: OriginUpdate = OriginUpdate()
     peers: tuple[peering.Peer, ...] | None = None
+    brittle: tuple[requestlimits.NamedLimit, ...] = ()
+    rejections: tuple[brittleness.Rejection, ...] = ()
 
 
 class NotLeading(msgspec.Struct, frozen=True, tag=True):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -6,6 +6,7 @@
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.gateway import directory, exchange
 from coltsfoothead.kernel.traffic import (
+    brittleness,
     crashattribution,
     demandmeter,
     document,
@@ -64,6 +65,8 @@
         Quarantines of prompt parts, also those of earlier terms.
     limits : LimitTable
         Limits that upstreams have named, also those heard in earlier terms.
+    brittle : BrittleTable
+        Brittle upstreams, also those heard of in earlier terms.
     origins : OriginTable
         Origins of recent streams, also those heard in earlier terms.
     now : float
@@ -77,12 +80,14 @@
         tolerance: quota.Tolerance,
         quarantines: quarantine.QuarantineTable,
         limits: requestlimits.LimitTable,
+        brittle: brittleness.BrittleTable,
         origins: streamorigins.OriginTable,
         now: float,
     ) -> None:
         self._directory = upstream_directory
         self.crash_attribution = crashattribution.CrashAttribution(quarantines)
         self._limits = limits
+        self.brittle = brittle
         self._origins = origins
         self._began_at = now
         # Shares by upstream and entry, and when they were computed.
@@ -129,6 +134,7 @@
         self.crash_attribution.record(report.parts, now)
         self._limits.merge(report.limits, now)
         self._origins.merge(report.origins, now)
+        self.brittle.merge(report.brittle, report.rejections, now)
         for each in report.leaving:
             self._directory.drain(each.upstream_id, each.born, now)
         self._add_loads(reporter)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -142,6 +142,8 @@
         Whether the upstream says that it leaves.
     pause_seconds : float or None
         Time for which the upstream, which rejects the request, wants no more of this process.
+    tolerated_rejections : float or None
+        Rejections a second after which the upstream falls over, while it is brittle.
     """
 
     status: int
@@ -152,6 +154,7 @@
     requests_per_second: float | None = None
     leaving: bool = False
     pause_seconds: float | None = None
+    tolerated_rejections: float | None = None
 
 
 class RefusalReason(enum.Enum):
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -496,8 +496,18 @@
 
     def _may_send(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether the upstream's own notices allow a request now."""
-        return self._limits.may_send(upstream.id, clock.steady()) and not self._notices.pauses(
-            upstream
+        now = clock.steady()
+        return (
+            self._limits.may_send(upstream.id, now)
+            and not self._notices.pauses(upstream)
+            and self._notices.brittle.may_send(
+                upstream,
+                self.loads.own_loads.get(upstream.id, placement.Load()),
+                self.loads.load(upstream.id),
+                self.loads.other_loads_age_seconds(now),
+                self._entry_count,
+                now,
+            )
         )
 
     def _pause_seconds(self, state: requeststate.RequestState) -> float:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -17,7 +17,13 @@
     planstore,
     promptguard,
 )
-from coltsfoothead.kernel.traffic import quarantine, quota, requestlimits, streamorigins
+from coltsfoothead.kernel.traffic import (
+    brittleness,
+    quarantine,
+    quota,
+    requestlimits,
+    streamorigins,
+)
 
 __all__ = ["ENDED_PREFIX", "TermManager"]
 
@@ -54,6 +60,8 @@
         This process's copy of the quarantines.
     limits : LimitTable
         This process's copy of the limits that upstreams have named.
+    brittle : BrittleTable
+        This process's copy of the brittle upstreams.
     origins : OriginTable
         This process's copy of the origins of streams.
     load_quarantines : callable
@@ -77,6 +85,7 @@
         plans: planstore.PlanStore,
         quarantines: quarantine.QuarantineTable,
         limits: requestlimits.LimitTable,
+        brittle: brittleness.BrittleTable,
         origins: streamorigins.OriginTable,
         load_quarantines: Callable[[], None],
         record_quarantine: Callable[[quarantine.Quarantine], None],
@@ -94,6 +103,7 @@
         self._plans = plans
         self._quarantines = quarantines
         self._limits = limits
+        self._brittle = brittle
         self._origins = origins
         self._load_quarantines = load_quarantines
         self._record_quarantine = record_quarantine
@@ -173,6 +183,8 @@
                 else term.origin_update(report.origins_version)
             ),
             term.peers(report, now) if report.entry else None,
+            term.brittle.tolerances(now),
+            term.brittle.rejections(now),
         )
 
     def answer_draw(self, request: exchange.DrawRequest) -> exchange.DrawResponse:
@@ -210,6 +222,7 @@
             self._tolerance,
             self._quarantines,
             self._limits,
+            self._brittle,
             self._origins,
             now,
         )
--- a/packages/daemon/tests/test_leadership.py
+++ b/packages/daemon/tests/test_leadership.py
@@ -7,6 +7,7 @@
 from coltsfoothead.coordination.configuration import lease
 from coltsfoothead.daemon.gateway import directory, exchange, leadership
 from coltsfoothead.kernel.traffic import (
+    brittleness,
     document,
     placement,
     quarantine,
@@ -34,6 +35,7 @@
             quota.Tolerance(),
             quarantine.QuarantineTable(),
             requestlimits.LimitTable(),
+            brittleness.BrittleTable(),
             streamorigins.OriginTable(),
             0.0,
         )
