End silent connections to upstreams at the third probe

The count is left out, as it has no effect. An upstream that is silent for a second keeps its connections.

--- a/packages/daemon/src/coltsfoothead/daemon/http/connection.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/connection.py
@@ -16,13 +16,13 @@
 DEFAULT_KEEP_ALIVE_SECONDS = 4.0
 
 # A VM without power or behind a partition never resets its connections. The probes end such a
-# connection after about 3 s, the shortest time after which a silent response is given up.
+# connection after 3 s, the shortest time after which a silent response is given up: the kernel
+# checks at each probe whether the user timeout has passed, whatever the count of probes.
 _KEEPALIVE_PROBE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
 )
 # Time within which the rest of a response's head arrives after its first byte.
 HEAD_TIMEOUT_SECONDS = 2.0
