Continue a stream only with an answer of its own media type

Report of another system: after a stream had begun and broken off, the text of the next runner's error stood in it.

Cause: only the status of an answer that continues a stream was checked. Change: it has to have the media type of the stream that has begun; otherwise the attempt counts as failed, and the stream is resumed elsewhere or visibly broken.

test_faulty_answers.test_a_page_with_status_200...: failed before with the page's text behind the first event, passes now.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -229,13 +229,16 @@
         state: requeststate.RequestState,
     ) -> None:
         """Relays one upstream's response until its stream ends."""
-        if attempt.head.status != 200:
+        content_type = attempt.head.content_type
+        continues = state.content_type in (None, content_type)
+        if attempt.head.status != 200 or not continues:
             response = await self._read_response(attempt)
-            text = f"status {attempt.head.status}"
+            text = f"status {attempt.head.status}, content type {content_type}"
             raise failures.AttemptFailedError(text, response=response)
 
         def begin_response() -> None:
             state.first_event_at = asyncio.get_running_loop().time()
+            state.content_type = content_type
             self._count_usage(state)
             self._record_origin(state)
             if not caller.started:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/ports.py
@@ -156,6 +156,14 @@
     pause_seconds: float | None = None
     tolerated_rejections: float | None = None
 
+    @property
+    def content_type(self) -> str | None:
+        """Media type of the body without parameters, or None."""
+        for name, value in self.headers:
+            if name.lower() == "content-type":
+                return value.partition(";")[0].strip().lower()
+        return None
+
 
 class RefusalReason(enum.Enum):
     """Why the entry itself answers a request with an error."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -58,6 +58,8 @@
         Whether the last attempt went through another entry.
     may_have_run : bool
         Whether an upstream may have begun to run the request.
+    content_type : str or None
+        Media type of the stream that has begun; what continues it has the same one.
     usage_counted : bool
         Whether the request was counted in the organisation's usage.
     longest_pause_seconds : float
@@ -79,6 +81,7 @@
     sent_count: int = 0
     excluded_upstreams: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    content_type: str | None = None
     usage_counted: bool = False
     origin: streamorigins.Origin | None = None
     origin_recorded_at: float = float("-inf")
