--- a/packages/daemon/src/coltsfoothead/daemon/gateway/pathmonitor.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/pathmonitor.py
@@ -108,7 +108,7 @@
         """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        timer = loop.call_later(SLOW_CONNECT_SECONDS, self._assess, upstream)
+        timer = loop.call_later(SLOW_CONNECT_SECONDS, self._assess, upstream, PROBED_UPSTREAMS)
         try:
             yield timer
         except http_errors.ConnectError as error:
@@ -176,24 +176,35 @@
             if (age is None or age >= SILENCE_SECONDS) and now - probed_at >= SILENCE_SECONDS:
                 yield upstream
 
-    def _assess(self, upstream: upstreams.Upstream) -> None:
-        """Probes an upstream in doubt and others of its service, unless that is under way."""
+    def _assess(self, upstream: upstreams.Upstream, first_count: int = 1) -> None:
+        """Probes an upstream in doubt, and others of its service if it cannot be reached.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        first_count : int
+            Upstreams that are probed at once, the one in doubt among them.
+        """
         if not self.isolated(upstream.service):
-            self._start(upstream.service, self._find_open(upstream))
+            self._start(upstream.service, self._find_open(upstream, first_count))
 
-    async def _find_open(self, upstream: upstreams.Upstream) -> None:
+    async def _find_open(self, upstream: upstreams.Upstream, first_count: int) -> None:
         """Probes upstreams of a service, a few at a time, until one accepts a connection."""
-        others = [
+        untried = [
             each
             for each in self._directory.ready_upstreams(upstream.service)
             if each.id != upstream.id and not self._reachability.failing(each.id)
         ]
-        self._rng.shuffle(others)
-        untried = [upstream, *others]
+        self._rng.shuffle(untried)
+        count = PROBED_UPSTREAMS
+        if not self._reachability.failing(upstream.id):
+            untried.insert(0, upstream)
+            count = first_count
         while untried and not self.isolated(upstream.service):
-            group, untried = untried[:PROBED_UPSTREAMS], untried[PROBED_UPSTREAMS:]
+            group, untried = untried[:count], untried[count:]
             if any(await self._probe_all(group)):
                 return
+            count = PROBED_UPSTREAMS
 
     def _start(self, service: str, probing: Coroutine[None, None, object]) -> None:
         """Runs probes of a service, unless some are running."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -228,7 +228,8 @@
         """Records that the last attempt of a request failed at its upstream."""
         assert state.upstream_id is not None
         upstream = self._directory.records.get(state.upstream_id)
-        if failure.sent or state.relayed:
+        # A relayed attempt may have failed on the way to the upstream.
+        if failure.sent and (failure.not_run or not state.relayed):
             self.loads.record_failure(state.upstream_id, clock.steady(), weight)
         if failure.sent and not failure.not_run and not state.relayed and upstream is not None:
             self._paths.record_break(upstream)
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/peering.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/peering.py
@@ -66,9 +66,15 @@
             self._zones.setdefault(each.zone, []).append((_position(each.address), each))
         for ring in self._zones.values():
             ring.sort(key=lambda item: (item[0], item[1].address))
+        self._peers: dict[str, tuple[Peer, ...]] = {}
 
     def peers(self, address: str) -> tuple[Peer, ...]:
         """Returns the peers of the entry at an address."""
+        if address not in self._peers:
+            self._peers[address] = self._choose(address)
+        return self._peers[address]
+
+    def _choose(self, address: str) -> tuple[Peer, ...]:
         chosen: list[Peer] = []
         for zone, ring in sorted(self._zones.items(), key=lambda item: _position(item[0])):
             start = bisect.bisect_left(ring, _position(address + zone), key=lambda item: item[0])
@@ -84,6 +90,7 @@
     state: PeerState = PeerState()
     heard_at: float = float("-inf")
     in_flight: int = 0
+    listed: bool = True
 
 
 class PeerTable:
@@ -104,7 +111,7 @@
     @property
     def digest(self) -> int:
         """Digest of the peers."""
-        return digest(each.peer for each in self._known.values())
+        return digest(each.peer for each in self._known.values() if each.listed)
 
     @property
     def addresses(self) -> tuple[str, ...]:
@@ -112,10 +119,13 @@
         return tuple(self._known)
 
     def set_peers(self, peers: Iterable[Peer]) -> None:
-        """Replaces the peers; what is known of those that stay is kept."""
-        self._known = {
-            each.address: self._known.get(each.address) or _KnownPeer(each) for each in peers
-        }
+        """Replaces the peers; those with requests in flight are kept, but get no further ones."""
+        listed = {each.address: each for each in peers}
+        kept = {name: each for name, each in self._known.items() if each.in_flight}
+        new = {name: self._known.get(name) or _KnownPeer(each) for name, each in listed.items()}
+        self._known = kept | new
+        for name, each in self._known.items():
+            each.listed = name in listed
 
     def record_state(self, address: str, state: PeerState | None, now: float) -> None:
         """Records what a peer said of itself, or that it did not answer."""
@@ -135,7 +145,8 @@
         usable = [
             each
             for each in self._known.values()
-            if now - each.heard_at <= STATE_MAX_AGE_SECONDS
+            if each.listed
+            and now - each.heard_at <= STATE_MAX_AGE_SECONDS
             and service not in each.state.unreached_services
             and each.state.free_places > 0
         ]
