Split the relays by role, and the sending of a request from its placement

They are now relaymessages, relayclient and relayserver, and transmission beside sending.

partitioned_entries, upstream_notices, troubled_runners, faulty_answers, whole_path, golden lists: 60 passed.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -28,7 +28,9 @@
     pathmonitor,
     ports,
     promptguard,
-    relaying,
+    relayclient,
+    relaymessages,
+    relayserver,
     sending,
     settings,
     upstreamnotices,
@@ -109,7 +111,7 @@
         self._peers = peering.PeerTable(
             placement.Distances(configured.process.zone, configured.zones).distance, self._rng
         )
-        self._relays = relaying.RelayClient(self._links, self._peers, self._events)
+        self._relays = relayclient.RelayClient(self._links, self._peers, self._events)
         self._paths = pathmonitor.PathMonitor(
             self._client,
             self._directory,
@@ -122,7 +124,7 @@
         self._guard = promptguard.PromptGuard(
             tracker, self._request_probe, self._paths.isolated, self._events, self._rng
         )
-        self._relay_server = relaying.RelayServer(
+        self._relay_server = relayserver.RelayServer(
             caller_dialect,
             self._client,
             self._directory,
@@ -177,8 +179,8 @@
 
     async def start(self) -> None:
         """Starts the servers and the exchange with the leader."""
-        self._links.serve(relaying.PEER_STATE, self._relay_server.state)
-        self._links.serve_stream(relaying.RELAY, self._relay_server.serve)
+        self._links.serve(relaymessages.PEER_STATE, self._relay_server.state)
+        self._links.serve_stream(relaymessages.RELAY, self._relay_server.serve)
         await self._links.start()
         self._link = leaderlink.LeaderLink(
             self._links, self._peer_seeds(self._settings), self._events, self._rng
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -7,7 +7,6 @@
 
 from coltsfoothead.daemon.gateway import (
     admission,
-    answermatch,
     clock,
     directory,
     eventlog,
@@ -16,12 +15,12 @@
     pathmonitor,
     ports,
     promptguard,
-    relaying,
+    relayclient,
     requeststate,
+    transmission,
     upstreamnotices,
 )
 from coltsfoothead.daemon.http import client as http_client
-from coltsfoothead.daemon.http import errors as http_errors
 from coltsfoothead.kernel.traffic import overload, placement, repeats, requestlimits, upstreams
 
 __all__ = ["Attempt", "Sender"]
@@ -37,7 +36,7 @@
     """A request sent to one upstream whose response head has arrived."""
 
     upstream_id: str
-    answer: http_client.StreamedResponse | relaying.RelayedResponse
+    answer: http_client.StreamedResponse | relayclient.RelayedResponse
     head: ports.ResponseHead
     tracked: loads.TrackedRequest
 
@@ -91,7 +90,7 @@
         limits: requestlimits.EntryLimits,
         notices: upstreamnotices.UpstreamNotices,
         paths: pathmonitor.PathMonitor,
-        relays: relaying.RelayClient,
+        relays: relayclient.RelayClient,
         events: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
@@ -111,6 +110,7 @@
         self._notices = notices
         self._paths = paths
         self._relays = relays
+        self._transmitter = transmission.Transmitter(dialect, client, paths, relays, tracker)
         directory_copy.add_listener(self._on_upstream_change)
 
     def set_entry_count(self, entry_count: int) -> None:
@@ -147,7 +147,7 @@
             unread_tokens = prompt.own_tokens + prompt.missing_tokens(upstream)
         tracked = self.loads.track(upstream.id, unread_tokens, state.prompt is not None)
         try:
-            answer = await self._send(
+            answer = await self._transmitter.send(
                 state, chosen, last_event_id, self._kv_source_address(prompt, upstream)
             )
         except BaseException:
@@ -256,106 +256,6 @@
         ages = [self._client.contact_age_seconds(each.address) for each in candidates]
         return min((round(age, 2) for age in ages if age is not None), default=None)
 
-    async def _send(
-        self,
-        state: requeststate.RequestState,
-        chosen: placement.Candidate,
-        last_event_id: str | None,
-        kv_source_address: str | None,
-    ) -> http_client.StreamedResponse | relaying.RelayedResponse:
-        upstream = chosen.upstream
-        remaining_seconds = state.deadline - asyncio.get_running_loop().time()
-        metadata = ports.ForwardingMetadata(
-            state.organisation_name,
-            upstream.id,
-            max(ports.MIN_FORWARDED_SECONDS, remaining_seconds),
-            state.urgency if state.prompt is not None else None,
-            last_event_id,
-            kv_source_address,
-        )
-        send = self._send_through_peer if chosen.relayed else self._send_directly
-        might_have_run = state.may_have_run
-        try:
-            answer = await send(state, upstream, metadata)
-        except http_errors.ConnectError as error:
-            raise failures.AttemptFailedError(str(error), sent=False, not_run=True) from error
-        except http_errors.UpstreamBrokeError as error:
-            # The end of a connection to a peer does not tell what became of the upstream.
-            closed = isinstance(error, http_errors.UpstreamClosedError) and not chosen.relayed
-            raise failures.AttemptFailedError(str(error), closed=closed) from error
-        if self._dialect.decode_response_head(answer.status, answer.headers).not_run:
-            state.may_have_run = might_have_run
-        return answer
-
-    async def _send_directly(
-        self,
-        state: requeststate.RequestState,
-        upstream: upstreams.Upstream,
-        metadata: ports.ForwardingMetadata,
-    ) -> http_client.StreamedResponse:
-        """Sends a request over a connection of this entry."""
-        with self._paths.watch(upstream) as slow_connect:
-
-            def on_sending() -> None:
-                slow_connect.cancel()
-                self._record_sending(state, upstream)
-
-            return await self._client.send(
-                upstream.address,
-                self._dialect.forward(state.request, state.caller_request, metadata),
-                None,
-                before_send=on_sending,
-                matches_request=answermatch.matcher(self._dialect, state.caller_request.id),
-            )
-
-    async def _send_through_peer(
-        self,
-        state: requeststate.RequestState,
-        upstream: upstreams.Upstream,
-        metadata: ports.ForwardingMetadata,
-    ) -> relaying.RelayedResponse:
-        """Sends a request through another entry.
-
-        Raises
-        ------
-        ConnectError
-            If no peer has sent it.
-        UpstreamBrokeError
-            If a peer may have sent it.
-        """
-        request = state.request
-        relayed = relaying.RelayRequest(
-            upstream.id,
-            upstream.born,
-            request.method,
-            request.target,
-            request.headers,
-            request.body,
-            metadata.seconds_left,
-            metadata.organisation,
-            metadata.urgency,
-            metadata.last_event_id,
-            metadata.kv_source_address,
-            state.request_digest,
-            state.part_ids,
-        )
-        before = (state.sent_count, state.may_have_run)
-        try:
-            return await self._relays.send(
-                upstream.service, relayed, lambda: self._record_sending(state, upstream)
-            )
-        except relaying.NotSentError as error:
-            state.sent_count, state.may_have_run = before
-            raise http_errors.ConnectError(str(error)) from error
-
-    def _record_sending(
-        self, state: requeststate.RequestState, upstream: upstreams.Upstream
-    ) -> None:
-        state.sent_count += 1
-        state.may_have_run = True
-        if state.prompt is not None and state.prompt.shared_key:
-            self.loads.record_prefix_read(state.prompt.shared_key, upstream.id, clock.steady())
-
     def _prompt_with_holders(self, state: requeststate.RequestState) -> placement.Prompt | None:
         """Returns the prompt with the upstreams that hold its shared prefix in their KV caches."""
         prompt = state.prompt
