Count a relayed request once, and wait for answers that peers are about to give

Found by reading: a request for which the first peer said that it had sent nothing counted as sent once more for the next peer, which used up an attempt of its route; and a request that came while peers were being asked was refused as unreachable, since nothing was known of them yet, milliseconds before their answers.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/relayclient.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/relayclient.py
@@ -45,7 +45,6 @@
         self.headers = head.headers
         self._items = items
         self._end = end
-        self._complete = False
 
     @property
     def framed(self) -> bool:
@@ -81,7 +80,6 @@
                     if sink(content) is not False:
                         progress_at = loop.time()
                 case relaymessages.End():
-                    self._complete = True
                     return
                 case _:
                     raise _failure(item)
@@ -136,7 +134,8 @@
         """Returns the peers that reach a service, the preferred one first."""
         now = asyncio.get_running_loop().time()
         known = self._peers.reaching(service, now)
-        if not known and now - self._asked_at >= ASK_INTERVAL_SECONDS:
+        asking = self._asking is not None and not self._asking.done()
+        if not known and (asking or now - self._asked_at >= ASK_INTERVAL_SECONDS):
             await self.ask_peers()
             known = self._peers.reaching(service, asyncio.get_running_loop().time())
         return known
@@ -165,7 +164,7 @@
         ----------
         service : str
             Service of the upstream.
-        relayed : relaymessages.RelayRequest
+        relayed : RelayRequest
         before_send : callable
             Called once, before the first peer may have sent the request.
 
@@ -178,7 +177,10 @@
         """
         started_at = asyncio.get_running_loop().time()
         cause = "no peer reaches the service"
-        for address in (await self.find_peers(service))[:MAX_PEERS_TRIED]:
+        addresses = (await self.find_peers(service))[:MAX_PEERS_TRIED]
+        if addresses:
+            before_send()
+        for address in addresses:
             waited = asyncio.get_running_loop().time() - started_at
             current = msgspec.structs.replace(
                 relayed, seconds_left=max(0.0, relayed.seconds_left - waited)
@@ -187,7 +189,6 @@
             reading = asyncio.create_task(self._read(address, current, items))
             self._answers.add(reading)
             reading.add_done_callback(self._answers.discard)
-            before_send()
             try:
                 first = await items.get()
             except BaseException:
