--- a/review/standins/plainday.py
+++ b/review/standins/plainday.py
@@ -29,10 +29,11 @@
 class PlainDay:
     """Three core machines, two edge machines and three runners, ready for requests."""
 
-    def __init__(self, record, answer):
+    def __init__(self, record, answer=None, manifest=MANIFEST, runners=None):
+        self._manifest = manifest
         self.installation = installation.Installation(cores=3, edges=2)
         self.installation.record = record
-        self.runners = [
+        self.runners = runners or [
             runner.Runner(f"i-{number}", "app", zone, answer)
             for number, zone in enumerate(installation.ZONES)
         ]
@@ -41,7 +42,7 @@
         site = self.installation
         try:
             site.start(*site.of("core"), *site.of("edge"), bootstrap=True)
-            if await asyncio.to_thread(site.put_manifest, MANIFEST, 30) is None:
+            if await asyncio.to_thread(site.put_manifest, self._manifest, 30) is None:
                 raise RuntimeError("the first manifest was not acknowledged")
             controls = [f"{ip}:{site.ports['control']}" for ip in site.of("core")]
             for each in self.runners:
