Keep voters that a new leader has not heard yet

What callers saw: after two of five control processes had lost their disks at once, beside a standby, no leader lasted any more.

Cause: the leader took a voter for silent if it had no join request of it. Followers send join requests to the leader only, so that a new leader had none of most voters, and as soon as a standby had reported it removed the first voter by name, also a healthy one. A removal is in force once it is appended; of the four voters left two had lost their disks, and it could never be committed.

Change: silence is measured on a clock that runs only while the process listens, from the later of the last message and the beginning of the term; responses in the log count as messages. A voter is removed only while the live ones are a majority of the others. The leader lists all members as live controls until it has listened for long enough, and a follower, which nobody reports to, always. An old join request of a process that has a new replica is dropped, as it would count as a standby in the place of the new one.

Ruled out: removing no voter at all, which leaves a voter that is lost for good in place (tested); waiting a fixed time after the election alone, which a suspended leader or lost join requests defeat.

--- a/packages/coordination/src/coltsfoothead/coordination/membership/voterplan.py
+++ b/packages/coordination/src/coltsfoothead/coordination/membership/voterplan.py
@@ -48,6 +48,7 @@
     addresses: Mapping[str, str],
     voters: Collection[str],
     candidates: Collection[Candidate],
+    listened_seconds: float,
     target_voters: int,
     silence_timeout_seconds: float,
 ) -> Admit | Promote | Remove | None:
@@ -63,6 +64,9 @@
         Replicas of the voters.
     candidates : collection of Candidate
         Every process that has sent a message, including members of the log.
+    listened_seconds : float
+        Seconds for which the leader has received messages as leader. No member has been silent for
+        longer, whether it has sent a message or not.
     target_voters : int
         Target number of voters.
     silence_timeout_seconds : float
@@ -73,27 +77,36 @@
     A silent voter is removed only if a standby can replace it at once. A voter that is merely
     suspended or partitioned does no harm, and removing it would lower the number of lost disks
     that the log survives.
+
+    A voter is removed only while the live ones are a majority of the remaining voters. The removal
+    is in force as soon as the leader has appended it, and could otherwise never be committed.
     """
     live = {
         candidate.replica: candidate
         for candidate in candidates
         if candidate.silent_seconds <= silence_timeout_seconds
     }
-    learners = [name for name in addresses if name not in voters]
-    for name in learners:
-        if name not in live:
+    silent = addresses.keys() - live.keys() if listened_seconds > silence_timeout_seconds else ()
+    for name in addresses:
+        if name in voters:
+            continue
+        if name in silent:
             return Remove(name)
         if len(voters) < target_voters:
-            return Promote(name)
+            return Promote(name) if name in live else None
     standbys = [candidate for name, candidate in sorted(live.items()) if name not in addresses]
     for standby in standbys:
+        # A new replica at the address of a member means that the disk of the old one was lost.
         replaced = [name for name, at in addresses.items() if at == standby.address]
-        if replaced and replaced[0] != leader_replica:
-            # A new replica at the address of a member means that the disk of the old one was lost.
-            return Remove(replaced[0])
-        if len(voters) < target_voters:
+        if not replaced and len(voters) < target_voters:
             return Admit(standby)
-        silent = [name for name in sorted(voters) if name not in live and name != leader_replica]
-        if silent:
-            return Remove(silent[0])
+        for name in replaced or sorted(silent):
+            if name != leader_replica and _can_commit_without(name, voters, live):
+                return Remove(name)
     return None
+
+
+def _can_commit_without(replica: str, voters: Collection[str], live: Collection[str]) -> bool:
+    """Returns whether the live voters are a majority of the voters without a replica."""
+    remaining = [name for name in voters if name != replica]
+    return 2 * sum(name in live for name in remaining) > len(remaining)
--- a/packages/coordination/src/coltsfoothead/coordination/replication/leading.py
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/leading.py
@@ -128,7 +128,7 @@
     progress = state.progress.get(sender)
     if state.role is not Role.LEADER or progress is None or message.term != state.term:
         return
-    _record_round(state, progress, message.round)
+    _record_response(state, progress, message.round, now)
     progress.probe_sent = False
     if not message.success:
         _backtrack(state, progress, message)
@@ -146,7 +146,7 @@
     progress = state.progress.get(sender)
     if state.role is not Role.LEADER or progress is None or message.term != state.term:
         return
-    _record_round(state, progress, message.round)
+    _record_response(state, progress, message.round, now)
     if progress.snapshot is None or progress.snapshot.index != message.index:
         return
     if message.received != progress.snapshot_offset:
@@ -172,7 +172,8 @@
     state.peers.acknowledge(sender, min(progress.match_index, state.commit_index))
 
 
-def _record_round(state: State, progress: Progress, round_number: int) -> None:
+def _record_response(state: State, progress: Progress, round_number: int, now: float) -> None:
+    progress.responded_at = now
     if round_number > progress.round:
         progress.round = round_number
         _update_quorum_contact(state)
--- a/packages/coordination/src/coltsfoothead/coordination/replication/raft.py
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/raft.py
@@ -123,6 +123,18 @@
         """
         return self._state.quorum_contact if self._state.role is Role.LEADER else None
 
+    def peer_response_times(self) -> dict[str, float]:
+        """Returns when each peer last responded to this leader in its term.
+
+        Peers that have not responded yet are left out. The result is empty if this replica is not
+        the leader.
+        """
+        return {
+            peer: progress.responded_at
+            for peer, progress in self._state.progress.items()
+            if progress.responded_at is not None
+        }
+
     def step(self, envelope: messages.Envelope, now: float) -> effects.Effects:
         """Handles a message from a peer.
 
--- a/packages/coordination/src/coltsfoothead/coordination/replication/state.py
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/state.py
@@ -45,6 +45,8 @@
         Number of its bytes that the peer has received.
     round : int
         Highest heartbeat round that the peer acknowledged.
+    responded_at : float or None
+        Time of the peer's last response in this term, in monotonic seconds.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "snapshot",
         "snapshot_offset",
         "round",
+        "responded_at",
     )
 
     def __init__(self, next_index: int):
@@ -65,6 +68,7 @@
         self.snapshot: schema.Snapshot | None = None
         self.snapshot_offset = 0
         self.round = 0
+        self.responded_at: float | None = None
 
 
 class State:
--- a/packages/coordination/src/coltsfoothead/coordination/replication/task.py
+++ b/packages/coordination/src/coltsfoothead/coordination/replication/task.py
@@ -120,6 +120,10 @@
         replica = self._require_started()
         return replica.role is state_module.Role.LEADER and replica.members_settled
 
+    def peer_response_times(self) -> dict[str, float]:
+        """Returns when each peer last responded to this leader in its term, by peer ID."""
+        return self._require_started().peer_response_times()
+
     async def start(self) -> None:
         """Restores the state machine and starts the replica.
 
--- a/packages/coordination/tests/test_log_task.py
+++ b/packages/coordination/tests/test_log_task.py
@@ -169,6 +169,16 @@
         with self.assertRaises(errors.MembershipChangeError):
             await log.remove("nobody")
 
+    async def test_response_times_are_those_of_the_leaders_term(self):
+        """Guards against a leader that relies on responses to an earlier leader."""
+        group = await self.group()
+        name, log = await group.leader()
+        await log.propose(b"1")
+        self.assertTrue(log.peer_response_times())
+        self.assertNotIn(name, log.peer_response_times())
+        await log.transfer_leadership()
+        self.assertEqual(log.peer_response_times(), {})
+
     async def test_leadership_transfer(self):
         """Guards against a planned stop without a leadership transfer."""
         group = await self.group()
--- a/packages/coordination/tests/test_voterplan.py
+++ b/packages/coordination/tests/test_voterplan.py
@@ -15,9 +15,9 @@
     return voterplan.Candidate(replica, address or f"10.0.0.{replica}:7", "z", silent_seconds)
 
 
-def plan(addresses, voters, candidates):
+def plan(addresses, voters, candidates, listened_seconds=60.0):
     """Returns the next change that the leader, replica 1, plans for five voters."""
-    return voterplan.next_change("1", addresses, voters, candidates, 5, 2.5)
+    return voterplan.next_change("1", addresses, voters, candidates, listened_seconds, 5, 2.5)
 
 
 class NextChangeTest(unittest.TestCase):
@@ -56,6 +56,25 @@
         candidates = [candidate(name) for name in "123"]
         self.assertEqual(plan(members, "123", candidates), voterplan.Remove("4"))
 
+    def test_members_that_a_new_leader_has_not_heard_stay(self):
+        """Guards against a new leader that takes members for silent before they can reach it."""
+        standby = candidate("6")
+        self.assertIsNone(plan(ADDRESSES, "12345", [candidate("1"), standby], 2.5))
+        heard = [candidate(name) for name in "123"]
+        self.assertIsNone(plan(ADDRESSES, "12345", [*heard, standby], 2.5))
+        self.assertEqual(plan(ADDRESSES, "12345", [*heard, standby], 2.6), voterplan.Remove("4"))
+        with_learner = {name: ADDRESSES[name] for name in "1234"}
+        self.assertIsNone(plan(with_learner, "123", [*heard, standby], 2.5))
+
+    def test_no_voter_is_removed_without_a_majority_of_the_others(self):
+        """Guards against a removal that is in force but can never be committed."""
+        live = [candidate(name) for name in "12"]
+        standby, wiped = candidate("6"), candidate("5~new", ADDRESSES["5"])
+        self.assertIsNone(plan(ADDRESSES, "12345", [*live, standby]))
+        self.assertIsNone(plan(ADDRESSES, "12345", [*live, wiped]))
+        live.append(candidate("3"))
+        self.assertEqual(plan(ADDRESSES, "12345", [*live, wiped]), voterplan.Remove("5"))
+
     def test_the_leader_is_never_removed(self):
         """Guards against a leader that removes itself as silent."""
         candidates = [candidate("1", silent_seconds=9.0), *(candidate(name) for name in "23456")]
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/formation.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/formation.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from coltsfoothead.coordination.membership import voterplan
+from coltsfoothead.coordination.membership import listening, voterplan
 from coltsfoothead.coordination.replication import errors as replication_errors
 from coltsfoothead.daemon.control import loghost
 from coltsfoothead.daemon.gateway import clock, eventlog, exchange, leaderlink
@@ -17,10 +17,12 @@
 # Interval at which a control process sends its join request, which is also its heartbeat.
 JOIN_INTERVAL_SECONDS = 0.4
 JOIN_TIMEOUT_SECONDS = 0.6
-# Time without a join request after which a process no longer counts as live, and a standby may
-# replace it as voter; a restart takes about 1.5 s.
+# Time without a message after which a process no longer counts as live, and a standby may replace
+# it as voter; a restart takes about 1.5 s.
 MAX_SILENCE_SECONDS = 2.5
 CHECK_INTERVAL_SECONDS = 0.2
+# Longest pause between two readings of the listening clock that counts as time spent listening.
+MAX_LISTENING_STEP_SECONDS = 2 * CHECK_INTERVAL_SECONDS
 CHANGE_TIMEOUT_SECONDS = 2.0
 
 
@@ -48,7 +50,16 @@
         self._own_request = join_request
         self._events = events
         self._member_addresses: dict[str, str] = {}
-        self._join_requests: dict[str, tuple[exchange.JoinRequest, float]] = {}
+        # The newest join request of each replica.
+        self._join_requests: dict[str, exchange.JoinRequest] = {}
+        self._listening = listening.ListeningClock(MAX_LISTENING_STEP_SECONDS, clock.steady())
+        # Time of the listening clock at which each replica was last heard.
+        self._heard_at: dict[str, float] = {}
+        # Times of the replicas' responses in the log, as seen at the last check.
+        self._response_times: dict[str, float] = {}
+        # Role and term of this process, and the listening clock's time at which they began.
+        self._role_and_term: tuple[str, int] | None = None
+        self._term_began_at = 0.0
 
     @property
     def member_addresses(self) -> dict[str, str]:
@@ -58,7 +69,13 @@
     def answer_join(self, payload: bytes) -> bytes:
         """Records an encoded join request and returns the encoded response."""
         request = exchange.decode_join_request(payload)
-        self._join_requests[request.replica] = (request, clock.steady())
+        # A process whose disk was lost has a new replica ID at its old address.
+        for name in [
+            name for name, each in self._join_requests.items() if each.address == request.address
+        ]:
+            del self._join_requests[name]
+        self._join_requests[request.replica] = request
+        self._heard_at[request.replica] = self._listening.read(clock.steady())
         members = {}
         if self._logs.leads(loghost.CONTROL):
             task = self._logs.tasks[loghost.CONTROL]
@@ -66,12 +83,20 @@
         return exchange.encode(exchange.JoinResponse(members))
 
     def live_controls(self) -> list[str]:
-        """Returns the peer addresses of the live control processes."""
-        now = clock.steady()
+        """Returns the peer addresses of the control processes that are not known to be silent."""
+        listened = self._listening.read(clock.steady())
         live = [
             request.address
-            for request, at in self._join_requests.values()
-            if now - at <= MAX_SILENCE_SECONDS
+            for name, request in self._join_requests.items()
+            if self._silent_seconds(name, listened) <= MAX_SILENCE_SECONDS
+        ]
+        # Only the leader hears all members, once it has led for some time.
+        leads = self._role_and_term is not None and self._role_and_term[0] == "leader"
+        led_seconds = listened - self._term_began_at if leads else 0.0
+        live += [
+            address
+            for name, (address, _) in self._logs.tasks[loghost.CONTROL].members.items()
+            if min(self._silent_seconds(name, listened), led_seconds) <= MAX_SILENCE_SECONDS
         ]
         return sorted({self._own_request.address, *live})
 
@@ -98,6 +123,7 @@
         """Changes the membership of the log, while this process is the leader, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self._observe()
             if not self._logs.tasks[loghost.CONTROL].accepts_member_changes:
                 continue
             change = self._next_change()
@@ -110,21 +136,45 @@
             else:
                 self._events.write("voter_change", **_describe(change))
 
+    def _observe(self) -> None:
+        """Records changes of role and term, and the replicas that have responded in the log."""
+        listened = self._listening.read(clock.steady())
+        task = self._logs.tasks[loghost.CONTROL]
+        status = task.status()
+        if self._role_and_term != (status.role, status.term):
+            self._role_and_term = (status.role, status.term)
+            self._term_began_at = listened
+        response_times = task.peer_response_times()
+        for name, at in response_times.items():
+            if at != self._response_times.get(name):
+                self._heard_at[name] = listened
+        self._response_times = response_times
+
+    def _silent_seconds(self, replica: str, listened: float) -> float:
+        """Returns for how long a replica has not been heard; infinite if it never was."""
+        return listened - self._heard_at.get(replica, float("-inf"))
+
     def _next_change(self) -> voterplan.Admit | voterplan.Promote | voterplan.Remove | None:
         task = self._logs.tasks[loghost.CONTROL]
-        now = clock.steady()
+        members = task.members
+        listened = self._listening.read(clock.steady())
+        own = self._own_request
+        known = {
+            name: exchange.JoinRequest(name, address, zone)
+            for name, (address, zone) in members.items()
+        }
         candidates = [
-            voterplan.Candidate(each.replica, each.address, each.zone, now - at)
-            for each, at in self._join_requests.values()
+            voterplan.Candidate(name, each.address, each.zone, self._silent_seconds(name, listened))
+            for name, each in {**known, **self._join_requests}.items()
+            if name != own.replica
         ]
-        own = self._own_request
         candidates.append(voterplan.Candidate(own.replica, own.address, own.zone, 0.0))
-        members = task.members
         return voterplan.next_change(
             own.replica,
             {name: address for name, (address, _) in members.items()},
             task.status().voters,
             candidates,
+            listened - self._term_began_at,
             TARGET_VOTERS,
             MAX_SILENCE_SECONDS,
         )
