Keep upstreams that a new leader has not heard yet

A leader whose directory is empty, as after a restart of all control processes, answers entries with a full directory of what it has heard, and a copy took every upstream that is not listed for lost at once. Entries had no upstream until each had announced itself again.

Change: the copy keeps what the new leader does not list for as long as an upstream may be silent, counted from the last update of an earlier leader. A second change of leader does not extend that time, and an ended start stays ended: ends are in the control log, and the new leader lists them.

Ruled out: counting the time from the first update of the new leader, after which an entry that was cut off for long would use an upstream that ended meanwhile for some seconds.

Test: the new case of test_gateway_directory fails on the old code, which has no retention (TypeError), and passes.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -114,7 +114,9 @@
         self._rng = random.Random()
         self._client = http_client.Client(entry.CONNECT_TIMEOUT_SECONDS)
         self._documents = documentcopy.DocumentCopy(dialect, self._events)
-        self._directory = directory.DirectoryCopy()
+        self._directory = directory.DirectoryCopy(
+            directory.LOST_AFTER_INTERVALS * configured.announcements.interval_seconds
+        )
         self._plans = planstore.PlanStore()
         self._quarantines = quarantine.QuarantineTable()
         self._limits = requestlimits.LimitTable()
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -222,9 +222,21 @@
 
 
 class DirectoryCopy:
-    """Copy of the directory at a process that is not the leader."""
+    """Copy of the directory at a process that is not the leader.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    retention_seconds : float, optional
+        Time since the last update of an earlier leader for which upstreams are kept that a new
+        leader does not list. It has not heard them yet, which does not mean that they are silent.
+    """
+
+    def __init__(self, retention_seconds: float = 0.0) -> None:
+        self._retention_seconds = retention_seconds
+        # Upstreams that the current leader has not listed, and until when they are kept.
+        self._unlisted: set[str] = set()
+        self._unlisted_until = float("-inf")
+        self._updated_at = float("-inf")
         self._version = ("", 0)
         self._upstreams: dict[str, upstreams.Upstream] = {}
         self._listeners: list[Callable[[upstreams.Upstream], None]] = []
@@ -255,15 +267,22 @@
         """
         if update.leadership == self._version[0] and update.number < self._version[1]:
             return
+        now = clock.steady()
         if update.whole:
-            listed = {upstream.id for upstream in update.changed}
-            for name in self._upstreams.keys() - listed:
-                self._apply(dataclasses.replace(self._upstreams[name], state=upstreams.State.LOST))
+            if update.leadership != self._version[0] and not self._unlisted:
+                self._unlisted_until = self._updated_at + self._retention_seconds
+            self._unlisted = set(self._upstreams)
         for upstream in update.changed:
+            self._unlisted.discard(upstream.id)
             self._apply(upstream)
+        if self._unlisted and now >= self._unlisted_until:
+            for name in self._unlisted:
+                self._apply(dataclasses.replace(self._upstreams[name], state=upstreams.State.LOST))
+            self._unlisted = set()
+        self._updated_at = now
         self._version = (update.leadership, update.number)
         if self._first_update_at is None:
-            self._first_update_at = clock.steady()
+            self._first_update_at = now
         if update.changed:
             self._changed.set()
             self._changed = asyncio.Event()
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -103,7 +103,10 @@
         )
         self._client = http_client.Client(CONNECT_TIMEOUT_SECONDS, preserve_host=True)
         self._documents = documentcopy.DocumentCopy(document_dialect, self._events)
-        self._directory = directory.DirectoryCopy()
+        lost_after_seconds = (
+            directory.LOST_AFTER_INTERVALS * configured.announcements.interval_seconds
+        )
+        self._directory = directory.DirectoryCopy(lost_after_seconds)
         self._allowances = allowances.Allowances(self._rng, self._draw)
         tracker = loads.LoadTracker()
         self._limits = requestlimits.EntryLimits()
@@ -116,7 +119,7 @@
             self._client,
             self._directory,
             tracker,
-            directory.LOST_AFTER_INTERVALS * configured.announcements.interval_seconds,
+            lost_after_seconds,
             self._relays.ask_peers,
             self._events,
             self._rng,
--- a/packages/daemon/tests/test_gateway_directory.py
+++ b/packages/daemon/tests/test_gateway_directory.py
@@ -135,6 +135,26 @@
         self.sync()
         self.assertIs(self.copy.records["i-1"].state, READY)
 
+    def test_upstreams_that_a_new_leader_has_not_heard_are_kept_for_a_while(self):
+        """Guards against a copy without upstreams after a restart of all control processes."""
+        self.copy = directory.DirectoryCopy(3.5)
+        with unittest.mock.patch.object(directory.clock, "steady") as steady:
+            steady.return_value = 100.0
+            self.leader.announce(upstream(1), 0.0)
+            self.leader.announce(upstream(1, name="i-2", address="10.0.0.2:80"), 0.0)
+            self.sync()
+            self.leader = directory.Directory("b/2", INTERVAL, {}, 1.0)
+            steady.return_value = 101.0
+            self.sync()
+            self.assertEqual(len(self.copy.ready_upstreams("model")), 2)
+            self.leader.announce(upstream(2), 1.5)
+            self.leader = directory.Directory("c/3", INTERVAL, {"i-1": upstream(2)}, 2.0)
+            for steady.return_value, ready in ((103.4, 2), (103.5, 1)):
+                self.sync()
+                self.assertEqual(len(self.copy.ready_upstreams("model")), ready)
+            self.assertIs(self.copy.records["i-2"].state, LOST)
+            self.assertIs(self.copy.records["i-1"].state, READY)
+
     def test_an_old_update_is_dropped(self):
         """Guards against two answers of the leader that arrive in reverse order."""
         self.leader.announce(upstream(1), 0.0)
