Count entries that a new leader has not heard yet

A new leader divided quotas, named limits and the retry budget among the entries that had reported to it, so that the first ones got everything: each entry believed that it was nearly alone in the moment in which retries are most frequent. It also sent them a ring of peers without most entries, and granted probes with a request under suspicion of services whose upstreams it did not know.

Change: a process remembers how many entries reported to the last leader, which every answer to a follower states, and counts as many for the time of the document lease of its own term. Entries that have not reported count like an average one that has; peers are not listed while entries may be missing; no probe is granted of a service without known upstreams. No message changes.

Ruled out: granting nothing until all have reported, which refuses callers after each election.

Test: of the three new cases of test_leadership two cannot run on the old code, which has no such count (TypeError); the third fails there (a probe is granted). All pass now.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/control.py
@@ -392,6 +392,7 @@
 
     def _apply_answer(self, answer: exchange.Answer) -> None:
         now = clock.steady()
+        self._terms.record_entry_count(answer.entries)
         self._plans.receive(answer.plans, now)
         self._quarantines.merge(answer.parts.quarantines, now)
         self._limits.merge((each.limit for each in answer.limits), now)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -71,6 +71,9 @@
         Origins of recent streams, also those heard in earlier terms.
     now : float
         Steady time at which the term begins.
+    expected_entries : int, optional
+        Entries that reported to the previous leader, as far as this process knows. Until the
+        document lease of the previous term has ended, they may serve without having reported here.
     """
 
     def __init__(
@@ -83,7 +86,9 @@
         brittle: brittleness.BrittleTable,
         origins: streamorigins.OriginTable,
         now: float,
+        expected_entries: int = 0,
     ) -> None:
+        self._expected_entries = expected_entries
         self._directory = upstream_directory
         self.crash_attribution = crashattribution.CrashAttribution(quarantines)
         self._limits = limits
@@ -224,8 +229,10 @@
                 del self._reporters[sender]
 
     def entry_count(self, now: float) -> int:
-        """Returns the number of entries that may be serving."""
+        """Returns the number of entries that may be serving, with those not heard yet."""
         self._exclude_silent(now)
+        if now - self._began_at < self._lease_seconds:
+            return max(self._entry_count, self._expected_entries)
         return self._entry_count
 
     def allowances(
@@ -244,7 +251,9 @@
                 bucket = quota.TokenBucket(limit, self._tolerance, now)
                 self._buckets[organisation.name] = bucket
             bucket.set_quota(limit, now)
+            # Entries that have not reported yet count like an average one that has.
             total_rate = self._requested_rates.get(organisation.name, 0.0)
+            total_rate *= entry_count / self._entry_count
             share = quota.share(own_rates.get(organisation.name, 0.0), total_rate, entry_count)
             allowances[organisation.name] = quota.Grant(
                 share * quota.GRANTED_FRACTION * max(0.0, bucket.level(now)),
@@ -253,8 +262,12 @@
         return allowances
 
     def peers(self, report: exchange.Report, now: float) -> tuple[peering.Peer, ...] | None:
-        """Returns the entries that an entry can call, or None if it knows them."""
-        self._exclude_silent(now)
+        """Returns the entries that an entry can call, or None if it knows them.
+
+        It also keeps those that it knows while entries may be missing here.
+        """
+        if self.entry_count(now) > self._entry_count:
+            return None
         peers = self._peer_ring.peers(report.address)
         return peers if peering.digest(peers) != report.peers_digest else None
 
@@ -262,15 +275,19 @@
         """Returns the limits that upstreams have named, with a process's shares."""
         limits = self._limits.limits(now)
         if limits and now - self._limits_divided_at >= SWEEP_INTERVAL_SECONDS:
-            self._exclude_silent(now)
+            entry_count = self.entry_count(now)
             self._limits_divided_at = now
             zones = {
                 name: each.report.zone for name, each in self._reporters.items() if each.counted
             }
+            heard_fraction = len(zones) / max(1, entry_count)
             self._limit_shares = {
-                each.upstream_id: requestlimits.divide(
-                    each, self._directory.zone_of(each.upstream_id), zones, now
-                )
+                each.upstream_id: {
+                    name: heard_fraction * rate
+                    for name, rate in requestlimits.divide(
+                        each, self._directory.zone_of(each.upstream_id), zones, now
+                    ).items()
+                }
                 for each in limits
             }
         return tuple(
@@ -288,7 +305,8 @@
     def _can_spare_upstream(self, service: str) -> bool:
         """Returns whether upstreams are left if one crashes that serves now.
 
-        Of a service with a single upstream, that one can be spared, too.
+        Of a service with a single upstream, that one can be spared, too. Of a service whose
+        upstreams are not known yet, none can.
         """
         crashed = self.crash_attribution.crashed_upstreams()
         states = [
@@ -299,7 +317,7 @@
         serving, lost = (
             states.count(each) for each in (upstreams.State.READY, upstreams.State.LOST)
         )
-        return serving >= min(MIN_SERVING_UPSTREAMS, serving + lost)
+        return serving >= max(1, min(MIN_SERVING_UPSTREAMS, serving + lost))
 
     def origin_update(self, version: tuple[str, int]) -> exchange.OriginUpdate:
         """Returns the streams that a control follower lacks."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -110,6 +110,9 @@
         self._events = events
         self._current: leadership.Leadership | None = None
         self._term_number = 0
+        # Entries that report to the leader, and when this process knew that.
+        self._entry_count = 0
+        self._entry_count_at = float("-inf")
         # Whether the current term has taken over what the log records beside the documents.
         self._log_read = False
 
@@ -123,6 +126,10 @@
         """Returns the steady time in seconds, as used by the state of a term."""
         return clock.steady()
 
+    def record_entry_count(self, entry_count: int) -> None:
+        """Records how many entries report to the leader, in case this process leads next."""
+        self._entry_count, self._entry_count_at = entry_count, clock.steady()
+
     def leader_address(self) -> str | None:
         """Returns the peer address of the leader, if one is known."""
         task = self._logs.tasks[loghost.CONTROL]
@@ -159,6 +166,8 @@
         if term is None or not term.lease.valid(now):
             return exchange.NotLeading(self.leader_address(), tuple(self._live_controls()))
         term.record_report(report, now)
+        entry_count = term.entry_count(now)
+        self.record_entry_count(entry_count)
         state = self._logs.machine(loghost.CONTROL).state(configuration.NAME)
         if state.current.version != self._documents.version:
             # The reporting process gets this document with the answer, and needs allowances for
@@ -169,7 +178,7 @@
         return exchange.Answer(
             lease.answer_poll(report.poll, term.lease.remaining(now), state),
             term.directory.update_since(report.directory),
-            term.entry_count(now),
+            entry_count,
             term.allowances(report.sender, organisations, now) if report.entry else {},
             term.other_loads(report.sender, now) if report.entry else {},
             tuple(self._live_controls()),
@@ -225,6 +234,7 @@
             self._brittle,
             self._origins,
             now,
+            self._entry_count if now - self._entry_count_at < self._lease_seconds else 0,
         )
         self._log_read = False
         self._events.write("leading", term=term_number, upstreams=len(inherited))
--- a/packages/daemon/tests/test_leadership.py
+++ b/packages/daemon/tests/test_leadership.py
@@ -29,7 +29,11 @@
 class LeadershipTest(unittest.TestCase):
     def setUp(self):
         self.directory = directory.Directory("a/1", 1.0, {}, 0.0)
-        self.term = leadership.Leadership(
+        self.term = self.new_term()
+
+    def new_term(self, *expected_entries):
+        """Returns a term that begins at 0, after one with some entries."""
+        return leadership.Leadership(
             self.directory,
             4.0,
             quota.Tolerance(),
@@ -38,6 +42,7 @@
             brittleness.BrittleTable(),
             streamorigins.OriginTable(),
             0.0,
+            *expected_entries,
         )
 
     def grant(self, upstream_ids, crashed):
@@ -111,6 +116,45 @@
         self.assertGreater(idle.amount, 0.0)
         self.assertAlmostEqual(busy.rate + idle.rate, 100.0)
 
+    def test_the_first_entries_that_a_new_leader_hears_get_their_shares_only(self):
+        """Guards against quotas, limits and retries that are divided among too few entries.
+
+        Eight entries report to a new leader one after the other.
+        """
+        self.term = self.new_term(8)
+        self.directory.announce(
+            upstreams.Upstream("i-1", "s", "h:1", "z", 1, upstreams.State.READY), 0.0
+        )
+        limit = requestlimits.NamedLimit("i-1", 80.0, 0.0)
+        quota_rate = limit_rate = 0.0
+        for number in range(8):
+            sender, now = f"e{number}", 0.1 * number
+            self.term.record_report(
+                report(sender, limits=(limit,), asked={"film": 25.0}, address=f"h:{number}"), now
+            )
+            self.assertEqual(self.term.entry_count(now), 8)
+            quota_rate += self.term.allowances(sender, (ORGANISATION,), now)["film"].rate
+            [share] = self.term.limit_shares(sender, now)
+            limit_rate += share.share
+        self.assertAlmostEqual(quota_rate, 100.0)
+        self.assertLessEqual(limit_rate, 80.0)
+
+    def test_a_new_leader_lists_peers_once_it_has_heard_all_entries(self):
+        """Guards against entries that lose their peers when the leader changes."""
+        self.term = self.new_term(2)
+        first = report("a", address="h:1", peers_digest=7)
+        self.term.record_report(first, 0.0)
+        self.assertIsNone(self.term.peers(first, 0.0))
+        self.term.record_report(report("b", address="h:2"), 0.1)
+        self.assertEqual([each.address for each in self.term.peers(first, 0.2)], ["h:2"])
+        self.term = self.new_term(2)
+        self.term.record_report(first, 0.0)
+        self.assertEqual(self.term.peers(first, 4.0), ())
+
+    def test_a_new_leader_that_knows_no_upstream_grants_no_probe(self):
+        """Guards against a request that may end the only upstream, which was not heard yet."""
+        self.assertFalse(self.grant((), ()))
+
     def test_totals_stay_correct_while_entries_come_and_go(self):
         """Guards against totals that keep or lose a part of an entry that pauses and returns.
 
