Continue streams only at upstreams whose start is certain

A runner may start again under its ID and address with another version. An entry that is cut off from the leader, or was suspended, does not hear of it: it continued a stream at the new version, and recorded streams of the new version under the old one.

Nothing changes for an entry in touch, nor for requests that are not streams.

Ruled out: comparing a version in the answer, as the platform's answers carry none.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -236,7 +236,7 @@
         # Upstreams that the current leader has not listed, and until when they are kept.
         self._unlisted: set[str] = set()
         self._unlisted_until = float("-inf")
-        self._updated_at = float("-inf")
+        self._updated_at = self._confirmed_at = float("-inf")
         self._version = ("", 0)
         self._upstreams: dict[str, upstreams.Upstream] = {}
         self._listeners: list[Callable[[upstreams.Upstream], None]] = []
@@ -257,9 +257,19 @@
         """Registers a callback for the new record of every upstream that changes."""
         self._listeners.append(listener)
 
-    def receive(self, update: exchange.DirectoryUpdate) -> None:
+    def age_seconds(self, now: float) -> float:
+        """Returns the time since this copy matched the leader's directory."""
+        return now - self._confirmed_at
+
+    def receive(self, update: exchange.DirectoryUpdate, requested_at: float | None = None) -> None:
         """Applies an update from the leader.
 
+        Parameters
+        ----------
+        update : DirectoryUpdate
+        requested_at : float, optional
+            Steady time at which the update was requested; now by default.
+
         Notes
         -----
         A new leader may lack the last announcements that its predecessor acknowledged. A record
@@ -280,6 +290,7 @@
                 self._apply(dataclasses.replace(self._upstreams[name], state=upstreams.State.LOST))
             self._unlisted = set()
         self._updated_at = now
+        self._confirmed_at = now if requested_at is None else requested_at
         self._version = (update.leadership, update.number)
         if self._first_update_at is None:
             self._first_update_at = now
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -34,6 +34,7 @@
     sending,
     settings,
     upstreamnotices,
+    upstreamstarts,
 )
 from coltsfoothead.daemon.http import client as http_client
 from coltsfoothead.daemon.http import message, server
@@ -162,6 +163,7 @@
             self._notices,
             self._paths,
             self._relays,
+            upstreamstarts.UpstreamStarts(self._directory, self._client),
             self._events,
             self._rng,
         )
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -278,6 +278,8 @@
         if now - state.origin_recorded_at < streamorigins.RENEWAL_SECONDS:
             return
         if state.origin is None:
+            if not self._sender.starts.has_reached_listed(state):
+                return
             assert state.upstream_version is not None
             state.origin = streamorigins.Origin(state.service, state.upstream_version)
         state.origin_recorded_at = now
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadersync.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadersync.py
@@ -103,7 +103,7 @@
                     self._link.set_leader(target)
                     self._link.set_controls(answer.controls)
                     self._documents.receive(answer.poll)
-                    self._directory.receive(answer.directory)
+                    self._directory.receive(answer.directory, sent_at)
                     self._interval_seconds = interval_seconds(answer.entries)
                     age_seconds = clock.steady() - sent_at
                     if age_seconds <= MAX_ANSWER_AGE_SECONDS:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -42,6 +42,8 @@
         Upstream of the last attempt.
     upstream_version : str or None
         Version of that upstream's software.
+    upstream_born : int
+        Start of that upstream, as known when it was chosen.
     upstream_load : Load or None
         Load of that upstream, as known when it was chosen.
     load_age_seconds : float or None
@@ -87,6 +89,7 @@
     origin_recorded_at: float = float("-inf")
     upstream_id: str | None = None
     upstream_version: str | None = None
+    upstream_born: int = 0
     relayed: bool = False
     upstream_load: placement.Load | None = None
     load_age_seconds: float | None = None
@@ -102,6 +105,11 @@
         """ID of the request whose answer began the stream: this one, or the one that it resumes."""
         return self.caller_request.resumed_id or self.caller_request.id
 
+    @property
+    def bound_to_version(self) -> bool:
+        """Whether only an upstream of the version that began the stream may continue it."""
+        return self.origin is not None or self.first_event_at is not None
+
     @property
     def organisation_name(self) -> str | None:
         """Name of the organisation, or None for a request without one."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -19,9 +19,17 @@
     requeststate,
     transmission,
     upstreamnotices,
+    upstreamstarts,
 )
 from coltsfoothead.daemon.http import client as http_client
-from coltsfoothead.kernel.traffic import overload, placement, repeats, requestlimits, upstreams
+from coltsfoothead.kernel.traffic import (
+    overload,
+    placement,
+    repeats,
+    requestlimits,
+    streamorigins,
+    upstreams,
+)
 
 __all__ = ["Attempt", "Sender"]
 
@@ -72,6 +80,8 @@
         Knows which upstreams this entry reaches.
     relays : RelayClient
         Passes requests to upstreams through other entries.
+    starts : UpstreamStarts
+        Knows whether the directory is right about the upstream that a request reaches.
     events : EventLog
     rng : random.Random
     """
@@ -91,6 +101,7 @@
         notices: upstreamnotices.UpstreamNotices,
         paths: pathmonitor.PathMonitor,
         relays: relayclient.RelayClient,
+        starts: upstreamstarts.UpstreamStarts,
         events: eventlog.EventLog,
         rng: random.Random,
     ) -> None:
@@ -110,6 +121,7 @@
         self._notices = notices
         self._paths = paths
         self._relays = relays
+        self.starts = starts
         self._transmitter = transmission.Transmitter(dialect, client, paths, relays, tracker)
         directory_copy.add_listener(self._on_upstream_change)
 
@@ -136,6 +148,7 @@
         self._limits.take(upstream.id, clock.steady())
         state.upstream_id = upstream.id
         state.upstream_version = upstream.version
+        state.upstream_born = upstream.born
         state.upstream_load = chosen.load
         state.relayed = chosen.relayed
         state.load_age_seconds = self.loads.other_loads_age_seconds(clock.steady())
@@ -215,7 +228,7 @@
             (not_run or state.route.idempotent)
             and state.sent_count < state.route.max_upstreams
             and remaining_seconds >= MIN_RETRY_SECONDS
-            and (state.origin is None or bool(self._untried_upstreams(state)))
+            and (not state.bound_to_version or bool(self._untried_upstreams(state)))
             and self.guard.may_be_repeated(state)
         )
 
@@ -295,9 +308,17 @@
             for each in self._directory.ready_upstreams(state.service)
             if each.id not in state.excluded_upstreams
             and not self._notices.leaves(each)
-            and (state.origin is None or each.version == state.origin.version)
+            and (not state.bound_to_version or self._continues(each, state.origin))
         ]
 
+    def _continues(self, upstream: upstreams.Upstream, origin: streamorigins.Origin | None) -> bool:
+        """Returns whether an upstream surely has the version that began a stream."""
+        return (
+            origin is not None
+            and upstream.version == origin.version
+            and self.starts.reaches_listed(upstream)
+        )
+
     def _candidates(
         self, state: requeststate.RequestState, relayed: bool
     ) -> list[placement.Candidate]:
