Answer what still runs at the end of a planned stop, and send nothing late

Report of another operator: in a planned stop, requests that came late in the grace period were taken and passed on; at its end they were cut off without an answer, among them requests that may not be repeated (LOST).

Can it happen here? New requests are refused after a third of the grace period, but one that was admitted before and waited, for a permission of the leader or for an upstream, was still sent afterwards. And whatever ran at 92% of the grace period was cut off: the caller of a request that must not be repeated got a closed connection.

Change: a request that was not sent to any upstream is refused as not run once the entry refuses new ones; further attempts of requests that ran go on. At the end, requests whose answer has not begun get one at once: 502 if they may have run, else 503. Streams that have begun still end visibly broken. New outcome broken_by_stop.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -68,9 +68,29 @@
         self._stopped = False
 
     def stop(self) -> None:
-        """Refuses new requests from now on."""
+        """Refuses requests that have not been sent to an upstream from now on."""
         self._stopped = True
 
+    def ensure_may_start(self, state: requeststate.RequestState) -> None:
+        """Checks right before the first attempt of a request that this entry does not stop.
+
+        The request may have waited since it was admitted, and another entry can serve it.
+
+        Raises
+        ------
+        RefusedError
+            If this entry is about to stop.
+        """
+        if self._stopped and not state.sent_count:
+            raise self.retryable_refusal(ports.RefusalReason.STOPPING)
+
+    def stopping_refusal(self, state: requeststate.RequestState) -> failures.RefusedError:
+        """Returns the error for a request that this entry can no longer serve as it stops."""
+        if state.may_have_run:
+            refusal = ports.Refusal(ports.RefusalReason.UPSTREAM_FAILED)
+            return failures.RefusedError(refusal, "the entry stops")
+        return self.retryable_refusal(ports.RefusalReason.STOPPING)
+
     async def admit(
         self,
         request: message.Request,
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -65,7 +65,7 @@
 # Fraction of the grace period in which the load balancer notices that the entry is draining. After
 # it new requests are refused, because a long response could not end before the process is killed.
 DRAIN_FRACTION = 0.33
-# Fraction of the grace period after which responses still in progress are aborted.
+# Fraction of the grace period after which requests still in progress are ended.
 ABORT_FRACTION = 0.92
 LINK_SETTINGS = links_module.Settings(
     heartbeat_seconds=0.5, silence_timeout_seconds=1.6, idle_timeout_seconds=5.0
@@ -242,6 +242,7 @@
         while self._in_flight and loop.time() < started_at + ABORT_FRACTION * grace_seconds:
             await asyncio.sleep(0.02)
         aborted = self._in_flight
+        self._forwarder.end_requests()
         await self.close()
         self._events.write("stopped", broken=aborted, seconds=round(loop.time() - started_at, 2))
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -85,6 +85,9 @@
         self._demand_collected_at = clock.steady()
         self._draining = False
         self._in_flight = 0
+        # Deadlines of the requests in flight, and whether they have been brought forward.
+        self._timeouts: set[asyncio.Timeout] = set()
+        self._ended_early = False
 
     @property
     def in_flight(self) -> int:
@@ -95,6 +98,14 @@
         """Closes each caller's connection after its next response."""
         self._draining = True
 
+    def end_requests(self) -> None:
+        """Ends the requests in flight; those whose answer has not begun get an error at once."""
+        self._ended_early = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
+
     def demand(self) -> dict[str, demandmeter.DemandRates]:
         """Returns the rates at which callers requested each service since the last call."""
         now = clock.steady()
@@ -153,16 +164,22 @@
             if state.route.kind is document.RequestKind.STREAM
             else self._serve_plain
         )
+        timeout = asyncio.timeout_at(state.deadline)
         with caller.cancel_on_disconnect():
             try:
-                async with asyncio.timeout_at(state.deadline):
+                async with timeout:
+                    self._timeouts.add(timeout)
                     return await serve(caller, state)
             except TimeoutError:
                 if not caller.started:
+                    if self._ended_early:
+                        raise self._admission.stopping_refusal(state) from None
                     refusal = ports.Refusal(ports.RefusalReason.TIMED_OUT)
                     raise failures.RefusedError(refusal) from None
                 caller.abort()
-                return "broken_by_timeout"
+                return "broken_by_stop" if self._ended_early else "broken_by_timeout"
+            finally:
+                self._timeouts.discard(timeout)
 
     async def _serve_plain(self, caller: server.Exchange, state: requeststate.RequestState) -> str:
         while True:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/sending.py
@@ -137,13 +137,14 @@
         Raises
         ------
         RefusedError
-            If there is no upstream, if all of them are overloaded, or if a part of the prompt is
-            quarantined.
+            If there is no upstream, if all of them are overloaded, if a part of the prompt is
+            quarantined, or if this entry is about to stop.
         AttemptFailedError
             If the upstream cannot be reached, breaks the connection, or refuses the request.
         """
         chosen, prompt = await self._select_upstream(state)
         await self.guard.ensure_may_be_sent(state)
+        self._admission.ensure_may_start(state)
         upstream = chosen.upstream
         self._limits.take(upstream.id, clock.steady())
         state.upstream_id = upstream.id
