Do not take the suspension of a leader for the silence of others

A leader that was suspended, but not deposed because the others stood still, too, marked all upstreams as lost with its first check and counted the entries as gone: it had not heard them.

Change: a check that is late by more than 0.5 s postpones all expiry by the delay, and is logged (leader_suspended). A term tells for how long it has listened.

Test: the new case of StaleLeaderTest fails on the old code (the upstream is LOST after 30 s of suspension) and passes now.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -182,6 +182,11 @@
                 self._change(dataclasses.replace(record.upstream, state=upstreams.State.LOST), now)
         return lost
 
+    def postpone_expiry(self, seconds: float, now: float) -> None:
+        """Does not count time in which no announcement could arrive as silence of upstreams."""
+        for record in self._records.values():
+            record.updated_at = min(now, record.updated_at + seconds)
+
     def update_since(self, version: tuple[str, int]) -> exchange.DirectoryUpdate:
         """Returns the changes since a copy's version, its leadership ID and change number."""
         leadership_id, number = version
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/leadership.py
@@ -124,6 +124,16 @@
         """Lease on the document, which each round confirmed by a majority extends."""
         return self._lease
 
+    def listened_seconds(self, now: float) -> float:
+        """Returns for how long processes have been able to report in this term."""
+        return now - self._began_at
+
+    def postpone_expiry(self, seconds: float, now: float) -> None:
+        """Does not count time in which this process was suspended as silence of others."""
+        self._directory.postpone_expiry(seconds, now)
+        for reporter in self._reporters.values():
+            reporter.reported_at = min(now, reporter.reported_at + seconds)
+
     def record_report(self, report: exchange.Report, now: float) -> None:
         """Adds a report to the state of the term."""
         reporter = self._reporters.get(report.sender)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -28,6 +28,9 @@
 __all__ = ["ENDED_PREFIX", "TermManager"]
 
 CHECK_INTERVAL_SECONDS = 0.1
+# A check that is later than this means that the process was suspended. Nothing that it missed
+# meanwhile is silence of another process.
+MAX_CHECK_DELAY_SECONDS = 0.5
 # Prefix of the registers of ended upstreams; the rest of the key is ID and start.
 ENDED_PREFIX = "ended/"
 # Interval of the read barriers that confirm this process as leader and extend the document lease.
@@ -151,7 +154,9 @@
         """Starts and ends terms with the leadership of the log, until cancelled."""
         confirmed_at = 0.0
         while True:
+            slept_at = clock.steady()
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self._allow_for_suspension(slept_at + CHECK_INTERVAL_SECONDS)
             status = self._logs.tasks[loghost.CONTROL].status()
             if status.role != "leader":
                 self._end_term()
@@ -237,6 +242,13 @@
             return exchange.ProbeResponse(None)
         return exchange.ProbeResponse(term.grant_probe(request, now))
 
+    def _allow_for_suspension(self, due_at: float) -> None:
+        """Postpones expiry if this process was suspended before a check that was due."""
+        now = clock.steady()
+        if self._current is not None and now - due_at > MAX_CHECK_DELAY_SECONDS:
+            self._current.postpone_expiry(now - due_at, now)
+            self._events.write("leader_suspended", seconds=round(now - due_at, 2))
+
     def _begin_term(self, term_number: int) -> None:
         self._term_number = term_number
         now = clock.steady()
--- a/packages/daemon/tests/test_leadership.py
+++ b/packages/daemon/tests/test_leadership.py
@@ -1,5 +1,6 @@
 """Tests of the totals that the leader computes from the entries' reports."""
 
+import asyncio
 import dataclasses
 import inspect
 import random
@@ -281,6 +282,24 @@
         self.status.term = 3
         self.assertIsNone(self.terms.current)
 
+    async def test_a_suspension_of_the_leader_is_no_silence_of_upstreams(self):
+        """Guards against a leader that wakes and takes all upstreams for lost."""
+        self.task.barrier.side_effect = replication_errors.QuorumLostError("no majority")
+        sleep = asyncio.sleep
+
+        async def suspended_sleep(seconds):
+            self.now += 30.0 if seconds == termmanager.CHECK_INTERVAL_SECONDS else seconds
+            await sleep(0)
+
+        with unittest.mock.patch.object(termmanager.asyncio, "sleep", suspended_sleep):
+            running = asyncio.create_task(self.terms.run())
+            for _ in range(10):
+                await sleep(0)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+        [record] = self.terms.current.directory.records
+        self.assertIs(record.state, upstreams.State.READY)
+
     async def test_a_known_origin_needs_no_confirmation(self):
         """Guards against take-ups that wait for a majority although the origin cannot change."""
         self.origins.record("known", streamorigins.Origin("s", "v2"), self.now)
