Commit usage once all entries could report to the new leader

The counts of a usage window are final once they are in the log. A leader that took over the duties right after the end of a window committed what it had heard, so that entries which had not reported to it yet counted as unused.

Test: NewHolderTest fails on the old code (the counts are committed after 1 s) and passes now.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/duties.py
@@ -127,7 +127,13 @@
     async def _report_usage(
         self, term: leadership.Leadership, routing: document.RoutingDocument
     ) -> bool:
-        """Reports the usage windows that have ended; returns False if a report failed."""
+        """Reports the usage windows that have ended; returns False if a report failed.
+
+        The counts of a window are final once they are committed, so that all entries must have
+        been able to report to this term before.
+        """
+        if term.listened_seconds(clock.steady()) < USAGE_SETTLE_SECONDS:
+            return True
         now = self._wall_clock.now()
         newest_window = int((now - USAGE_SETTLE_SECONDS) // self._window_seconds) - 1
         oldest_window = int((now - self._due_seconds) // self._window_seconds)
--- a/packages/daemon/tests/test_gateway_duties.py
+++ b/packages/daemon/tests/test_gateway_duties.py
@@ -64,6 +64,43 @@
         self.assertEqual((outcome, client.sent), (ports.CloudOutcome.FAILED, []))
 
 
+class NewHolderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_usage_is_committed_once_all_entries_could_report(self):
+        """Guards against final counts of a window that lack entries not heard yet."""
+        lease = types.SimpleNamespace(fence=1, remaining=lambda: 2.0)
+        log = unittest.mock.Mock()
+        log.propose = unittest.mock.AsyncMock(return_value=types.SimpleNamespace(value=b"{}"))
+        client = unittest.mock.Mock()
+        answer = types.SimpleNamespace(status=200, read=unittest.mock.AsyncMock())
+        client.send = unittest.mock.AsyncMock(return_value=answer)
+        dialect = unittest.mock.Mock()
+        dialect.decode_outcome.return_value = ports.CloudOutcome.DONE
+        cloud_duties = duties.CloudDuties(
+            dialect,
+            "10.0.0.1:80",
+            client,
+            lease,
+            log,
+            "core-1",
+            5.0,
+            10.0,
+            lambda: None,
+            lambda: None,
+            planstore.PlanStore(),
+            eventlog.EventLog("test"),
+            metrics.Metrics(),
+        )
+        term = unittest.mock.Mock()
+        term.usage.return_value = {}
+        routing = types.SimpleNamespace(organisations=())
+        term.listened_seconds.return_value = 1.0
+        await cloud_duties._report_usage(term, routing)
+        log.propose.assert_not_awaited()
+        term.listened_seconds.return_value = 3.0
+        await cloud_duties._report_usage(term, routing)
+        log.propose.assert_awaited()
+
+
 class ControlApiTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_unforeseen_error_in_a_call_is_answered(self):
         """Guards against a call without an answer, for which its caller waits in vain."""
