--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/installed
 PACKAGES := coordination kernel daemon cli testsupport
 
-.PHONY: setup test lint format demo faults soak bench slopes
+.PHONY: setup test lint format demo faults soak mixed bench slopes
 
 setup: $(STAMP)
 
@@ -39,6 +39,10 @@
 soak: $(STAMP)
 	$(BIN)/python tools/soak.py --seed $(SEED) --count $(SEEDS) --jobs 2
 
+# An earlier build beside the current one: make mixed OLD=COMMIT
+mixed: $(STAMP)
+	$(BIN)/python tools/mixed.py --old $(OLD) --seed $(SEED) --count 2
+
 bench: $(STAMP)
 	$(BIN)/python tools/bench.py
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -366,6 +366,14 @@
         return recovery_outcomes
 
 
+def keep_logs(folder: pathlib.Path, kept: pathlib.Path, violations: list[str]) -> None:
+    """Copies the logs of a run that violated guarantees, and the list of these, to a folder."""
+    kept.mkdir(parents=True, exist_ok=True)
+    (kept / "broken.txt").write_text("\n".join(violations) + "\n", encoding="utf-8")
+    for log in folder.glob("*.log"):
+        shutil.copy(log, kept)
+
+
 def run_seed(seed: int, seconds: float, keep: pathlib.Path) -> list[str]:
     """Runs one seed and returns the violated guarantees; keeps the logs in `keep` if it fails."""
     with tempfile.TemporaryDirectory() as folder:
@@ -373,12 +381,9 @@
         violations = asyncio.run(soak.run())
         if violations:
             log_folder = keep / f"soak-{seed}"
-            log_folder.mkdir(parents=True, exist_ok=True)
+            keep_logs(pathlib.Path(folder), log_folder, violations)
             plan = [json.dumps(dataclasses.asdict(fault)) for fault in soak.plan]
             (log_folder / "plan.jsonl").write_text("\n".join(plan) + "\n", encoding="utf-8")
-            (log_folder / "broken.txt").write_text("\n".join(violations) + "\n", encoding="utf-8")
-            for log in pathlib.Path(folder).glob("*.log"):
-                shutil.copy(log, log_folder)
     return violations
 
 
