Review scripts: remove their temporary folders and end their processes when interrupted

Cause: the scripts left their folders behind. Change: the stand-in for the platform removes its folder; SIGTERM ends a script as an interrupt does.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -10,6 +10,7 @@
 import random
 import re
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -436,6 +437,7 @@
         for process in self.processes.values():
             process.wait()
         self.processes = {}
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def put_config(self, manifest, seconds=20.0, first=0):
         """Sends a manifest to one process after the other until a call has a clear answer."""
@@ -499,8 +501,10 @@
 
 
 def main(folder, case):
-    """Runs a case: `case(platform-independent record)` returns whether the rule held."""
+    """Runs a case, whose coroutine function takes a record and returns whether the rule held."""
     record = Record(folder)
+    # An interrupted script ends its processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def run():
         async with asyncio.timeout(110):
