Review cases: the last tenant makes room, and two cases get new numbers

Change: the cases on memory and on a leaving server move to 8 and 9. Result: none of their files changed but the numbers.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,143 +1,135 @@
-"""One of two entries of a zone stops; the other one runs out of memory over permitted uploads."""
+"""A server leaves while its service isn't in the manifest; its report is acknowledged, but dropped."""
 
 import asyncio
 import pathlib
-import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
 import standins  # noqa: E402
 
-# Figures of the sheet of kakanfo-router: edge machines have 300 MB, 37 clients are in one zone, a
-# server of the plain service has 6 slots and works 90 ms on a request.
-MEMORY_MB = 300
-CLIENTS = 37
-SERVERS = 3
-SLOTS = 6
-WORK_SECONDS = 0.09
-# The largest body that the manifest allows.
-BODY_BYTES = 4194304
-ROUNDS = 2
-MAX_CUT = 3
+DRAIN_SECONDS = standins.BOUNDS["drain_ms"] / 1000
+BEAT_SECONDS = 1.2
+# The server goes on serving for this long after drain_ms, then withdraws and exits.
+LINGER_SECONDS = 0.8
+WORK_SECONDS = 0.15
+REQUESTS_PER_SECOND = 40
 
 
 async def case(record):
-    running = {}
-    slots = {}
+    acked_at = None
+    late, lost = [], []
+    exited = False
+    reached = {"i-leaves": 0, "i-stays": 0, "i-other": 0}
 
     async def answer(server, request, writer):
         identifier = request["headers"]["request-id"]
-        async with slots.setdefault(server.name, asyncio.Semaphore(SLOTS)):
-            running[identifier] = server.name
-            await asyncio.sleep(WORK_SECONDS)
-        writer.write(standins.encode_answer(server, request, 200, b"stored"))
+        reached[server.name] += 1
+        if server is leaving and acked_at is not None:
+            after = time.monotonic() - acked_at
+            if after > DRAIN_SECONDS:
+                late.append(identifier)
+            record.write(f"{identifier} reaches {server.name} {after:.3f} s after its report was acked")
+        await asyncio.sleep(WORK_SECONDS)
+        if server is leaving and exited:
+            # The server has exited while it worked on this order.
+            lost.append(identifier)
+            return False
+        writer.write(standins.encode_answer(server, request, 200, b"done"))
         return True
 
-    servers = [
-        standins.Server(f"i-{number}", "booking-app", answer, record) for number in range(SERVERS)
-    ]
-    platform = standins.Platform(record, entry_count=2, memory_mb=MEMORY_MB)
-    peaks = dict.fromkeys(platform.entries, 0.0)
-    killed = []
+    leaving = standins.Server("i-leaves", "fleet-a", answer, record)
+    staying = standins.Server("i-stays", "fleet-a", answer, record)
+    other = standins.Server("i-other", "fleet-b", answer, record)
+    servers = [leaving, staying, other]
+    platform = standins.Platform(record)
+    both = [standins.service("fleet-a"), standins.service("fleet-b")]
+    tenants = [{"name": "t1", "api_keys": ["key-of-t1"]}]
 
-    async def enforce_memory():
-        """Kills a process that uses more than its memory, and starts it again, as the pages say."""
+    def manifest(version, target, services):
+        route = standins.route("order", "/orders/", "unsafe", target)
+        return standins.manifest(version, [route], services, tenants)
+
+    async def send_request(address, headers, body):
+        sent = await standins.call(address, "POST", "/orders/new", body, headers)
+        if sent.status != 200:
+            record.write(f"request {headers[1][1]}: {sent}")
+
+    async def send_requests():
+        number = 0
         while True:
-            for address in platform.entries:
-                try:
-                    used = platform.rss_mb(address)
-                except (OSError, AttributeError, KeyError):
-                    continue
-                peaks[address] = max(peaks[address], used)
-                if used > MEMORY_MB:
-                    record.write(f"entry {address} uses {used:.0f} MB, over {MEMORY_MB}: killed")
-                    killed.append(address)
-                    platform.kill(address)
-                    platform.start(address, first_start=False)
-            await asyncio.sleep(0.02)
+            number += 1
+            headers = [
+                ("Host", "desk.example"),
+                ("Request-Id", standins.request_id()),
+                ("Deadline-Ms", "2000"),
+                ("Authorization", "Bearer key-of-t1"),
+            ]
+            address = platform.front_address(number % 2)
+            asyncio.create_task(send_request(address, headers, b"order %d" % number))
+            await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+
+    async def beat_acked(server):
+        for control in platform.control_addresses * 3:
+            if await server.beat(control):
+                return time.monotonic()
+        raise standins.CannotRun("no beat of the leaving server is acknowledged")
 
-    async def send(channel, client, body):
-        identifier = standins.request_id()
-        headers = [
-            ("Host", "booking.example"),
-            ("Request-Id", identifier),
-            ("Deadline-Ms", "10000"),
-            ("Authorization", "Bearer key-of-t1"),
-        ]
-        sent = await channel.request("POST", "/upload/1", headers, body, timeout=12)
-        passed_on = running.get(identifier)
-        record.write(
-            f"client {client} sent {identifier} with {len(body)} bytes to {channel.address}: {sent};"
-            f" passed on to {passed_on}"
-        )
-        return identifier, sent
+    async def beat_on(server):
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            await beat_acked(server)
 
-    watching = None
+    tasks = []
     try:
         for each in servers:
             await each.start()
         platform.start()
-        route = standins.route(
-            "upload", "/upload/", "unsafe", "booking-app", host="booking.example", timeout_ms=10000
-        )
-        await platform.put_config(
-            standins.manifest(
-                1,
-                [route],
-                [standins.service("booking-app")],
-                [{"name": "t1", "api_keys": ["key-of-t1"]}],
-                max_body_bytes=BODY_BYTES,
-            )
-        )
-        for each in servers:
-            each.start_beats(platform.control_addresses, 1.2)
+        await platform.put_config(manifest(1, "fleet-a", both))
+        for each in (staying, other):
+            each.start_beats(platform.control_addresses, BEAT_SECONDS)
+        leaving.start_beats(platform.control_addresses, BEAT_SECONDS)
         await platform.wait_ready()
+        await asyncio.sleep(5.0)
+        tasks.append(asyncio.create_task(send_requests()))
         await asyncio.sleep(2.0)
-        watching = asyncio.create_task(enforce_memory())
-        cut = []
-        for number in range(ROUNDS):
-            in_rotation = [0, 1]
-            if standins.TROUBLE:
-                # Planned work on the second entry: after two questions without a 200 the platform
-                # sends the channels of all clients of the zone to the first one.
-                platform.signal(platform.entries[1], signal.SIGTERM)
-                record.write(f"entry {platform.entries[1]} gets SIGTERM")
-                await asyncio.sleep(2.2)
-                in_rotation = [0]
-            channels = [
-                standins.Channel(platform.front_address(in_rotation[client % len(in_rotation)]))
-                for client in range(CLIENTS)
-            ]
-            # A small request first, so that the channel is a kept one.
-            firsts = [await send(each, client, b"hello") for client, each in enumerate(channels)]
-            if any(sent.status != 200 for _, sent in firsts):
-                raise standins.CannotRun("small requests fail")
-            for identifier, sent in await asyncio.gather(
-                *(send(each, client, b"a" * BODY_BYTES) for client, each in enumerate(channels))
-            ):
-                if sent.status is None and identifier in running:
-                    cut.append(identifier)
-            for each in channels:
-                each.close()
-            record.write(f"round {number + 1} ended")
-            if standins.TROUBLE:
-                while platform.processes[platform.entries[1]].poll() is None:
-                    await asyncio.sleep(0.1)
-                await asyncio.sleep(1.0)
-                platform.start(platform.entries[1], first_start=False)
-                record.write(f"entry {platform.entries[1]} is started again")
-            await platform.wait_ready()
-            await asyncio.sleep(2.0)
-        for address, peak in peaks.items():
-            record.write(f"entry {address}: at most {peak:.0f} MB")
-        record.write(f"entries ended for want of memory: {len(killed)} times")
-        record.write(f"passed on to a sound server, channel closed without an answer: {len(cut)}")
-        return len(cut) <= MAX_CUT and not killed
+        if not reached["i-leaves"]:
+            raise standins.CannotRun("the server that will leave gets no requests")
+        leaving._beating.cancel()
+        await beat_acked(leaving)
+        if standins.TROUBLE:
+            confirmed = await platform.put_config(manifest(2, "fleet-b", both[1:]))
+            record.write(f"manifest 2 without fleet-a: status {confirmed.status}")
+        await asyncio.sleep(0.5)
+        # The server reports that it leaves, and goes on reporting it and serving.
+        leaving.state = "draining"
+        acked_at = await beat_acked(leaving)
+        record.write("the report of i-leaves that it is draining is acknowledged")
+        tasks.append(asyncio.create_task(beat_on(leaving)))
+        await asyncio.sleep(DRAIN_SECONDS - 0.05)
+        if standins.TROUBLE:
+            confirmed = await platform.put_config(manifest(3, "fleet-a", both))
+            record.write(f"manifest 3 with fleet-a again: status {confirmed.status}")
+        await asyncio.sleep(acked_at + DRAIN_SECONDS + LINGER_SECONDS - time.monotonic())
+        tasks[-1].cancel()
+        for control in platform.control_addresses:
+            body = b'{"born": %d}' % leaving.born
+            withdrawn = await standins.call(control, "DELETE", "/instances/i-leaves", body)
+            if withdrawn.status == 200:
+                break
+        exited = True
+        await leaving.stop()
+        record.write("i-leaves has withdrawn and exits")
+        await asyncio.sleep(3.0)
+        record.write(f"requests per server: {reached}")
+        record.write(f"orders that i-leaves had begun when it exited: {len(lost)}")
+        record.write(f"requests that reach i-leaves later than drain_ms: {len(late)}")
+        return not late
     finally:
-        if watching is not None:
-            watching.cancel()
+        for each in tasks:
+            each.cancel()
         platform.stop()
-        for each in servers:
+        for each in (staying, other):
             await each.stop()
 
 
