Let only streams become idempotent by being resumable

Cause: a route counted as idempotent if its kind was repeatable or it said resumable, whatever its kind. After a lost answer the entry sent such a request to a second upstream. Evidence: the entry's log has two attempts for the route of the case, and one for the same route without resumable. Change: the kind decides; resumable counts for streams only. Every place that decides on a retry asks this property. Ruled out: a second send in the HTTP client or in a relay (neither has such a path).

--- a/packages/kernel/src/coltsfoothead/kernel/traffic/document.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/document.py
@@ -51,7 +51,7 @@
     max_upstreams : int
         Upstreams to which one request may be sent, retries included.
     resumable : bool
-        Whether another upstream may continue a broken stream.
+        Whether another upstream may continue a broken stream; without meaning for other kinds.
     public : bool
         Whether callers need no key.
     """
@@ -72,7 +72,13 @@
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RequestKind.REPEATABLE or self.resumable
+        match self.kind:
+            case RequestKind.REPEATABLE:
+                return True
+            case RequestKind.STREAM:
+                return self.resumable
+            case RequestKind.ONCE:
+                return False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/kernel/tests/test_traffic.py
+++ b/packages/kernel/tests/test_traffic.py
@@ -49,6 +49,22 @@
         self.assertIsNone(table.organisation("k3"))
 
 
+class IdempotencyTest(unittest.TestCase):
+    def test_only_streams_become_idempotent_by_being_resumable(self):
+        """Guards against a second run of a request whose answer was lost (TWICE)."""
+        expected = {
+            (document.RequestKind.REPEATABLE, False): True,
+            (document.RequestKind.REPEATABLE, True): True,
+            (document.RequestKind.ONCE, False): False,
+            (document.RequestKind.ONCE, True): False,
+            (document.RequestKind.STREAM, False): False,
+            (document.RequestKind.STREAM, True): True,
+        }
+        for (kind, resumable), idempotent in expected.items():
+            route = builders.route(kind=kind, resumable=resumable)
+            self.assertIs(route.idempotent, idempotent, (kind, resumable))
+
+
 class CheckTest(unittest.TestCase):
     def test_a_valid_document_passes(self):
         """Guards against rejecting valid documents."""
