Require keys also while a document has no organisation

Cause: an entry asked for a key only while the list of organisations had a member. A document without the field and one with an empty list became the same. Evidence: with an empty list the whole path answers 200 to all three kinds of callers; an organisation without keys gives 401. Ruled out: an entry that holds the earlier document (a key of nobody would not run).

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/admission.py
@@ -190,7 +190,7 @@
             if caller_request.api_key is not None
             else None
         )
-        if organisation is None and not route.public and table.routing.organisations:
+        if organisation is None and not route.public and table.routing.requires_keys:
             raise failures.RefusedError(ports.Refusal(ports.RefusalReason.NO_KEY))
         return organisation
 
--- a/packages/kernel/src/coltsfoothead/kernel/traffic/document.py
+++ b/packages/kernel/src/coltsfoothead/kernel/traffic/document.py
@@ -213,10 +213,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutingDocument:
-    """One version of all routes, services, organisations and limits."""
+    """One version of all routes, services, organisations and limits.
+
+    Attributes
+    ----------
+    requires_keys : bool
+        Whether callers of routes that are not public need a key, also while no organisation has
+        one.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     organisations: tuple[Organisation, ...] = ()
     limits: CallerLimits = CallerLimits()
+    requires_keys: bool = True
