Apply announcements of upstreams whose service a document leaves out

Cause: announcements of a service that the document in force doesn't name were dropped, since they may be malformed and take an ID or an address in use, but acknowledged. The directory went on with the upstream as ready when the next document named the service again. Evidence: no `announced` line follows the acknowledged call, and the record stays ready. Change: such an announcement keeps the known upstream of that service up to date and records that an unknown one drains, bounded. It takes no ID and no address; the end of a start under another service doesn't bind it. Ruled out: an outdated copy at the entries.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
@@ -125,9 +125,9 @@
         now = self._terms.now()
         match record:
             case upstreams.Upstream() if not self._terms.names_service(record.service):
-                # It could take the ID or the address of an upstream that is in use.
                 self._metrics.count("announcements_of_unknown_services")
-                return True
+                changed = term.directory.announce_unlisted(record, now)
+                state = record.state.value
             case upstreams.Upstream():
                 changed = term.directory.announce(record, now)
                 state = record.state.value
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -20,6 +20,8 @@
 # Time from a copy's first update within which all running upstreams announce themselves: one
 # announcement interval, and half of one for calls made while control processes were still starting.
 DISCOVERY_SECONDS = 1.0
+# Number of records from which on no unknown upstream of an unlisted service is added.
+MAX_RECORDS_WITH_UNLISTED = 4096
 # Sequence number of a record that follows every announcement after the same start.
 LAST_SEQUENCE = 2**63 - 1
 
@@ -78,6 +80,30 @@
 
     def announce(self, upstream: upstreams.Upstream, now: float) -> bool:
         """Applies an announcement; returns whether it is a change that the copies need."""
+        return self._announce(upstream, now, claims_address=True)
+
+    def announce_unlisted(self, upstream: upstreams.Upstream, now: float) -> bool:
+        """Applies an announcement of a service that the document in force does not name.
+
+        The document may have left the service out for a while, so that a known upstream of it is
+        kept up to date, and an unknown one is recorded once it drains. Nothing else is changed, as
+        the announcement may be malformed: it takes neither the ID nor the address of an upstream.
+
+        Returns
+        -------
+        bool
+            Whether it is a change that the copies need.
+        """
+        known = self._records.get(upstream.id)
+        if known is None:
+            drains = upstream.state is upstreams.State.DRAINING
+            if not drains or len(self._records) >= MAX_RECORDS_WITH_UNLISTED:
+                return False
+        elif known.upstream.service != upstream.service:
+            return False
+        return self._announce(upstream, now, claims_address=False)
+
+    def _announce(self, upstream: upstreams.Upstream, now: float, claims_address: bool) -> bool:
         known = self._records.get(upstream.id)
         if known is not None:
             if upstream.recency_key < known.upstream.recency_key:
@@ -86,10 +112,11 @@
             if same_start and known.upstream.state is upstreams.State.GONE and upstream.born:
                 # An upstream's start ends only once; this announcement was sent before the end.
                 return False
-            if same_start and known.upstream.state is upstreams.State.DRAINING:
+            same_service = upstream.service == known.upstream.service
+            if same_start and same_service and known.upstream.state is upstreams.State.DRAINING:
                 # A draining upstream never becomes ready again within the same start.
                 upstream = dataclasses.replace(upstream, state=upstreams.State.DRAINING)
-        if self._address_taken(upstream):
+        if claims_address and self._address_taken(upstream):
             return False
         self._versions[upstream.service, upstream.version] = now
         if known is not None and _stable_fields(known.upstream) == _stable_fields(upstream):
@@ -348,7 +375,9 @@
         if known is not None:
             if upstream.recency_key < known.recency_key or upstream == known:
                 return
+            gone = known.state is upstreams.State.GONE
             same_start = known.born and known.born == upstream.born
+            same_start = same_start and (gone or known.service == upstream.service)
             if same_start and _STATE_ORDER[upstream.state] < _STATE_ORDER[known.state]:
                 return
         self._upstreams[upstream.id] = upstream
--- a/packages/daemon/tests/test_gateway_directory.py
+++ b/packages/daemon/tests/test_gateway_directory.py
@@ -1,6 +1,7 @@
 """Tests of the upstream directory with late, repeated and reordered announcements."""
 
 import asyncio
+import dataclasses
 import unittest
 import unittest.mock
 
@@ -40,6 +41,57 @@
         self.leader.announce(upstream(7), 0.4)
         self.assertIs(self.state(), GONE)
 
+    def test_an_upstream_of_an_unlisted_service_drains(self):
+        """Guards against an end that is forgotten while a document leaves its service out (DRAIN).
+
+        The next document names the service again.
+        """
+        for known in (True, False):
+            with self.subTest(known=known):
+                self.leader = directory.Directory("a/1", INTERVAL, {}, 0.0)
+                copy = directory.DirectoryCopy(3.5)
+                copy.receive(update("z/0", upstream(4)))
+                if known:
+                    self.leader.announce(upstream(4), 0.0)
+                self.assertTrue(self.leader.announce_unlisted(upstream(5, DRAINING), 0.1))
+                self.leader.announce(upstream(6), 0.2)
+                copy.receive(self.leader.update_since(copy.version))
+                self.assertIs(self.state(), DRAINING)
+                self.assertEqual(copy.ready_upstreams("model"), [])
+
+    def test_a_known_upstream_of_an_unlisted_service_is_not_lost(self):
+        """Guards against a service without upstreams right after a document names it again."""
+        self.leader.announce(upstream(1), 0.0)
+        for sequence in range(2, 8):
+            self.leader.announce_unlisted(upstream(sequence), 1.0 * sequence)
+            self.leader.expire(1.0 * sequence)
+        self.assertIs(self.state(), READY)
+
+    def test_an_announcement_of_an_unlisted_service_takes_nothing(self):
+        """Guards against a malformed announcement that takes an ID or an address in use."""
+        self.leader.announce(upstream(1), 0.0)
+        for state in (READY, DRAINING):
+            for name in ("i-1", "i-copy"):
+                odd = dataclasses.replace(upstream(9, state, 200, name), service="nowhere")
+                self.leader.announce_unlisted(odd, 0.1)
+            self.assertIs(self.state(), READY)
+        # An upstream that the directory does not know yet is not bound by it either.
+        odd = dataclasses.replace(upstream(1, DRAINING, name="i-2"), service="nowhere")
+        self.leader.announce_unlisted(odd, 0.2)
+        copy = directory.DirectoryCopy()
+        copy.receive(self.leader.update_since(copy.version))
+        self.leader.announce(upstream(2, name="i-2", address="10.0.0.2:80"), 0.3)
+        copy.receive(self.leader.update_since(copy.version))
+        self.assertIs(self.state("i-2"), READY)
+        self.assertIn("i-2", [each.id for each in copy.ready_upstreams("model")])
+
+    def test_unknown_upstreams_of_unlisted_services_are_bounded(self):
+        """Guards against a directory that malformed announcements fill."""
+        with unittest.mock.patch.object(directory, "MAX_RECORDS_WITH_UNLISTED", 3):
+            for number in range(5):
+                self.leader.announce_unlisted(upstream(1, DRAINING, name=f"i-{number}"), 0.0)
+        self.assertEqual(len(self.leader.records), 3)
+
     def test_a_new_start_under_the_same_name_counts(self):
         """Guards against a restarted upstream that gets no requests as its sequence starts anew."""
         self.leader.announce(upstream(50), 0.0)
