Acknowledge the end of an upstream once the control log has it

Cause: an acknowledgement meant that one leader had read the announcement. A drain was lost with that leader; a withdrawal that the log refused was acknowledged when it was sent again; one of a start that the leader hadn't heard of was dropped; a copy took an end for old if the leader had heard less of the start than the copy. Change: drains are written to the log as withdrawals are, before they are acknowledged, and a new leader starts with both. A copy accepts the end of a start whatever it has heard of it.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/controlapi.py
@@ -117,7 +117,14 @@
         return state.current.content
 
     async def announce_as_leader(self, payload: bytes) -> bool:
-        """Applies an encoded announcement if this process is the leader; returns whether it is."""
+        """Applies an encoded announcement, if this process is the leader.
+
+        Returns
+        -------
+        bool
+            Whether the announcement may be acknowledged: this process is the leader, and the log
+            records the end that it tells, if any.
+        """
         term = self._terms.current
         if term is None:
             return False
@@ -127,28 +134,39 @@
             case upstreams.Upstream() if not self._terms.names_service(record.service):
                 self._metrics.count("announcements_of_unknown_services")
                 changed = term.directory.announce_unlisted(record, now)
-                state = record.state.value
+                upstream_id, state = record.id, record.state
             case upstreams.Upstream():
                 changed = term.directory.announce(record, now)
-                state = record.state.value
-            case exchange.WithdrawnUpstream():
-                changed = term.directory.withdraw(record.upstream_id, record.born, now)
-                state = "withdrawn"
+                upstream_id, state = record.id, record.state
+            case exchange.WithdrawnUpstream(upstream_id=upstream_id):
+                changed = term.directory.withdraw(upstream_id, record.born, now)
+                state = upstreams.State.GONE
         if changed:
-            self._events.write("announced", word=msgspec.to_builtins(record), state=state)
-        born = term.directory.start_of(record.upstream_id) if state == "withdrawn" else 0
-        return not (changed and born) or await self._record_end(record.upstream_id, born)
-
-    async def _record_end(self, upstream_id: str, born: int) -> bool:
-        """Records in the log that a start of an upstream has ended; returns whether it succeeded.
-
-        The directory is lost when all control processes restart.
+            self._events.write("announced", word=msgspec.to_builtins(record), state=state.value)
+        known = term.directory.upstream(upstream_id)
+        ends = state in termmanager.END_PREFIXES and known is not None and known.state is state
+        if not ends or not known.born or record.born not in (0, known.born):
+            return True
+        return await self._record_end(known)
+
+    async def _record_end(self, end: upstreams.Upstream) -> bool:
+        """Records in the log that an upstream drains or is gone, unless the log has it already.
+
+        The leader's directory is lost with its process.
+
+        Returns
+        -------
+        bool
+            Whether the log has it.
         """
-        command = writeonce.Write(f"{termmanager.ENDED_PREFIX}{upstream_id}/{born}", b"")
+        key = f"{termmanager.END_PREFIXES[end.state]}{end.id}/{end.born}"
+        if self._logs.machine(loghost.CONTROL).state(writeonce.NAME).read(key) is not None:
+            return True
+        command = writeonce.Write(key, b"")
         try:
             await self._proposer.propose(loghost.CONTROL, writeonce.NAME, command)
         except (proposer.QuorumLostError, proposer.UnknownOutcomeError) as error:
-            self._events.warn("end_not_recorded", id=upstream_id, cause=str(error))
+            self._events.warn("end_not_recorded", id=end.id, cause=str(error))
             return False
         return True
 
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/directory.py
@@ -25,6 +25,14 @@
 # Sequence number of a record that follows every announcement after the same start.
 LAST_SEQUENCE = 2**63 - 1
 
+# Within one start, an upstream never returns to a state with a lower number.
+_STATE_ORDER = {
+    upstreams.State.READY: 0,
+    upstreams.State.LOST: 0,
+    upstreams.State.DRAINING: 1,
+    upstreams.State.GONE: 2,
+}
+
 
 @dataclasses.dataclass(slots=True)
 class _Record:
@@ -112,7 +120,7 @@
             if same_start and known.upstream.state is upstreams.State.GONE and upstream.born:
                 # An upstream's start ends only once; this announcement was sent before the end.
                 return False
-            same_service = upstream.service == known.upstream.service
+            same_service = known.upstream.service in ("", upstream.service)
             if same_start and same_service and known.upstream.state is upstreams.State.DRAINING:
                 # A draining upstream never becomes ready again within the same start.
                 upstream = dataclasses.replace(upstream, state=upstreams.State.DRAINING)
@@ -136,11 +144,19 @@
         now : float
         """
         known = self._records.get(upstream_id)
-        if known is None or known.upstream.state is upstreams.State.GONE:
+        start = born or (known.upstream.born if known is not None else 0)
+        if known is None:
+            return self.restore_end(upstream_id, start, upstreams.State.GONE, now)
+        if start < known.upstream.born:
             return False
-        if born and born < known.upstream.born:
+        if known.upstream.state is upstreams.State.GONE and start == known.upstream.born:
             return False
-        self._change(dataclasses.replace(known.upstream, state=upstreams.State.GONE), now)
+        # Copies may hold later announcements of the start than this leader has heard.
+        sequence = LAST_SEQUENCE if start else known.upstream.sequence
+        gone = dataclasses.replace(
+            known.upstream, state=upstreams.State.GONE, born=start, sequence=sequence
+        )
+        self._change(gone, now)
         return True
 
     def drain(self, upstream_id: str, born: int, now: float) -> bool:
@@ -164,24 +180,38 @@
         self._records[upstream_id].updated_at = updated_at
         return True
 
-    def add_tombstone(self, upstream_id: str, born: int, now: float) -> None:
-        """Records an ended start of an upstream, of which this directory may know nothing.
+    def restore_end(self, upstream_id: str, born: int, state: upstreams.State, now: float) -> bool:
+        """Records that a start drains or is gone, of which this directory may know nothing.
 
         An announcement that was delayed since before the end is recognised by it.
+
+        Parameters
+        ----------
+        upstream_id : str
+        born : int
+            The start; 0 changes nothing.
+        state : State
+            `DRAINING` or `GONE`.
+        now : float
+
+        Returns
+        -------
+        bool
+            Whether that changed the record.
         """
         known = self._records.get(upstream_id)
-        if known is None:
-            tombstone = upstreams.Upstream(
-                upstream_id, "", "", "", 1, upstreams.State.GONE, born, LAST_SEQUENCE
-            )
-            self._change(tombstone, now)
-        elif known.upstream.born == born and known.upstream.state is not upstreams.State.GONE:
-            self._change(dataclasses.replace(known.upstream, state=upstreams.State.GONE), now)
-
-    def start_of(self, upstream_id: str) -> int:
-        """Returns the known start of an upstream as Unix time in milliseconds, or 0."""
-        known = self._records.get(upstream_id)
-        return known.upstream.born if known is not None else 0
+        if not born:
+            return False
+        if known is None or 0 < known.upstream.born < born:
+            sequence = LAST_SEQUENCE if state is upstreams.State.GONE else 0
+            ended = upstreams.Upstream(upstream_id, "", "", "", 1, state, born, sequence)
+            self._change(ended, now)
+            return True
+        same_start = known.upstream.born == born
+        if not same_start or _STATE_ORDER[state] <= _STATE_ORDER[known.upstream.state]:
+            return False
+        self._change(dataclasses.replace(known.upstream, state=state), now)
+        return True
 
     def upstream(self, upstream_id: str) -> upstreams.Upstream | None:
         """Returns the newest record of an upstream, or None if it is not known."""
@@ -373,22 +403,19 @@
     def _apply(self, upstream: upstreams.Upstream) -> None:
         known = self._upstreams.get(upstream.id)
         if known is not None:
-            if upstream.recency_key < known.recency_key or upstream == known:
+            if upstream == known:
                 return
-            gone = known.state is upstreams.State.GONE
             same_start = known.born and known.born == upstream.born
-            same_start = same_start and (gone or known.service == upstream.service)
-            if same_start and _STATE_ORDER[upstream.state] < _STATE_ORDER[known.state]:
+            advance = _STATE_ORDER[upstream.state] - _STATE_ORDER[known.state]
+            if upstream.recency_key < known.recency_key:
+                if not same_start or advance <= 0:
+                    return
+                # The leader knows the end of the start, but has not heard all announcements of it.
+                upstream = dataclasses.replace(known, state=upstream.state)
+            gone = known.state is upstreams.State.GONE
+            same_service = known.service in ("", upstream.service)
+            if same_start and advance < 0 and (gone or same_service):
                 return
         self._upstreams[upstream.id] = upstream
         for listener in self._listeners:
             listener(upstream)
-
-
-# Within one start, an upstream never returns to a state with a lower number.
-_STATE_ORDER = {
-    upstreams.State.READY: 0,
-    upstreams.State.LOST: 0,
-    upstreams.State.DRAINING: 1,
-    upstreams.State.GONE: 2,
-}
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/termmanager.py
@@ -29,16 +29,17 @@
     quota,
     requestlimits,
     streamorigins,
+    upstreams,
 )
 
-__all__ = ["ENDED_PREFIX", "TermManager"]
+__all__ = ["END_PREFIXES", "TermManager"]
 
 CHECK_INTERVAL_SECONDS = 0.1
 # A check that is later than this means that the process was suspended. Nothing that it missed
 # meanwhile is silence of another process.
 MAX_CHECK_DELAY_SECONDS = 0.5
-# Prefix of the registers of ended upstreams; the rest of the key is ID and start.
-ENDED_PREFIX = "ended/"
+# Prefixes of the registers of upstreams that drain or are gone; the rest of a key is ID and start.
+END_PREFIXES = {upstreams.State.GONE: "ended/", upstreams.State.DRAINING: "draining/"}
 # Interval of the read barriers that confirm this process as leader and extend the document lease.
 CONFIRM_INTERVAL_SECONDS = 0.3
 CONFIRM_TIMEOUT_SECONDS = 1.0
@@ -349,20 +350,21 @@
         if not self._log_read:
             # Before the barrier, this process may not have applied all entries of its log.
             self._log_read = True
-            self._add_tombstones(term.directory)
+            self._restore_ends(term.directory)
             self._load_quarantines()
             if self._rollouts is not None:
                 self._rollouts.tick(clock.steady())
         term.lease.extend(started_at)
         self._refresh_document(term, started_at)
 
-    def _add_tombstones(self, upstream_directory: directory.Directory) -> None:
-        """Adds the ended upstreams that the control log records to the directory."""
+    def _restore_ends(self, upstream_directory: directory.Directory) -> None:
+        """Adds the draining and ended upstreams that the control log records to the directory."""
         registers = self._logs.machine(loghost.CONTROL).state(writeonce.NAME)
         now = clock.steady()
-        for key in registers.read_all(ENDED_PREFIX):
-            upstream_id, _, born = key.rpartition("/")
-            upstream_directory.add_tombstone(upstream_id, int(born), now)
+        for state, prefix in END_PREFIXES.items():
+            for key in registers.read_all(prefix):
+                upstream_id, _, born = key.rpartition("/")
+                upstream_directory.restore_end(upstream_id, int(born), state, now)
 
     def _refresh_document(self, term: leadership.Leadership, polled_at: float) -> None:
         """Updates this process's copy of the document from its own log, as an entry would."""
--- a/packages/daemon/tests/test_gateway_directory.py
+++ b/packages/daemon/tests/test_gateway_directory.py
@@ -123,16 +123,53 @@
 
         The directory is lost when all control processes restart; the log keeps the ends.
         """
-        self.leader.add_tombstone("i-1", 100, 0.0)
+        self.leader.restore_end("i-1", 100, GONE, 0.0)
         self.assertFalse(self.leader.announce(upstream(9), 0.1))
         self.assertIs(self.state(), GONE)
         self.leader.announce(upstream(1, born=200), 0.2)
         self.assertIs(self.state(), READY)
-        self.leader.add_tombstone("i-1", 100, 0.3)
+        self.leader.restore_end("i-1", 100, GONE, 0.3)
         self.assertIs(self.state(), READY)
-        self.leader.add_tombstone("i-1", 200, 0.4)
+        self.leader.restore_end("i-1", 200, GONE, 0.4)
         self.assertIs(self.state(), GONE)
 
+    def test_a_restored_drain_stops_a_delayed_announcement(self):
+        """Guards against requests to a draining upstream after the leader that knew it died."""
+        for inherited in ({}, {"i-1": upstream(3)}, {"i-1": upstream(3, born=50)}):
+            with self.subTest(inherited):
+                self.leader = directory.Directory("b/2", INTERVAL, inherited, 0.0)
+                copy = directory.DirectoryCopy(3.5)
+                copy.receive(update("a/1", upstream(3)))
+                self.leader.restore_end("i-1", 100, DRAINING, 0.1)
+                copy.receive(self.leader.update_since(copy.version))
+                self.assertEqual(copy.ready_upstreams("model"), [])
+                self.leader.announce(upstream(4), 0.2)
+                copy.receive(self.leader.update_since(copy.version))
+                self.assertIs(self.state(), DRAINING)
+                self.assertEqual(copy.ready_upstreams("model"), [])
+                self.leader.announce(upstream(1, born=200), 0.3)
+                self.assertIs(self.state(), READY)
+                self.leader.restore_end("i-1", 100, GONE, 0.4)
+                self.assertIs(self.state(), READY)
+
+    def test_the_end_of_an_unheard_start_is_kept(self):
+        """Guards against an end that is acknowledged and forgotten, as its start is not listed.
+
+        A new leader has not heard the start, or has heard less of it than the copies.
+        """
+        for known in (None, upstream(3), upstream(3, born=50)):
+            with self.subTest(known):
+                inherited = {"i-1": known} if known is not None else {}
+                self.leader = directory.Directory("b/2", INTERVAL, inherited, 0.0)
+                copy = directory.DirectoryCopy(3.5)
+                copy.receive(update("a/1", upstream(7)))
+                self.assertTrue(self.leader.withdraw("i-1", 100, 0.1))
+                self.assertFalse(self.leader.withdraw("i-1", 100, 0.2))
+                self.leader.announce(upstream(8), 0.3)
+                copy.receive(self.leader.update_since(copy.version))
+                self.assertIs(self.state(), GONE)
+                self.assertEqual(copy.ready_upstreams("model"), [])
+
     def test_repeated_announcements_are_no_change(self):
         """Guards against updates that grow with the number of announcements."""
         self.leader.announce(upstream(1), 0.0)
--- a/packages/daemon/tests/test_gateway_duties.py
+++ b/packages/daemon/tests/test_gateway_duties.py
@@ -5,17 +5,22 @@
 import unittest
 import unittest.mock
 
+from coltsfoothead.coordination import writeonce
 from coltsfoothead.coordination.replication import errors as replication_errors
 from coltsfoothead.daemon import metrics
+from coltsfoothead.daemon.control import proposer
 from coltsfoothead.daemon.gateway import (
     background,
     controlapi,
+    directory,
     duties,
     eventlog,
+    exchange,
     planstore,
     ports,
 )
 from coltsfoothead.daemon.http import message
+from coltsfoothead.kernel.traffic import upstreams
 
 
 class SuspendingClient:
@@ -125,6 +130,45 @@
         caller.respond.assert_awaited_once_with(dialect.encode.return_value)
 
 
+class EndOfAnUpstreamTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_end_is_acknowledged_once_the_log_has_it(self):
+        """Guards against an end that is acknowledged when sent again, and in no log (DRAIN)."""
+        upstream_directory = directory.Directory("a/1", 1.0, {}, 0.0)
+        terms = unittest.mock.Mock()
+        terms.current.directory = upstream_directory
+        terms.now.return_value = 0.0
+        registers = writeonce.Registers()
+        logs = unittest.mock.Mock()
+        logs.machine.return_value.state.return_value = registers
+        failing = proposer.QuorumLostError("no majority")
+        log_proposer = unittest.mock.Mock(propose=unittest.mock.AsyncMock(side_effect=failing))
+        api = controlapi.ControlApi(
+            None,
+            "core-1",
+            80,
+            logs,
+            log_proposer,
+            None,
+            terms,
+            eventlog.EventLog("test"),
+            metrics.Metrics(),
+        )
+        drains = upstreams.Upstream(
+            "i-1", "model", "10.0.0.1:80", "z", 8, upstreams.State.DRAINING, 100, 1
+        )
+        for record in (drains, exchange.WithdrawnUpstream("i-1", 100)):
+            payload = exchange.encode(exchange.Announcement(record))
+            log_proposer.propose.side_effect = failing
+            self.assertFalse(await api.announce_as_leader(payload))
+            self.assertFalse(await api.announce_as_leader(payload))
+            log_proposer.propose.side_effect = lambda log, name, command: registers.apply(
+                1, command
+            )
+            self.assertTrue(await api.announce_as_leader(payload))
+            log_proposer.propose.side_effect = failing
+            self.assertTrue(await api.announce_as_leader(payload))
+
+
 class KeepRunningTest(unittest.IsolatedAsyncioTestCase):
     async def test_work_goes_on_after_an_unexpected_error(self):
         """Guards against one malformed message or unforeseen error that ends the process."""
