Take an answer without a length for incomplete if its connection is reset

Cause: the end of a connection completed a body without a length, whatever became of the request, and the client closed its side at once, so that a reset that followed was not seen. Change: after such an end, the client waits until the server's machine has acknowledged the request, 2 s at most, and a reset would have arrived (5 ms). Answers of servers that go on reading after their end stay complete.

--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -74,7 +74,7 @@
                 case h11.NEED_DATA:
                     await connection.receive(silence_seconds)
                 case h11.EndOfMessage():
-                    self._client.release(self._address, connection)
+                    await self._finish()
                     return
                 case _:
                     raise errors.UpstreamClosedError("connection closed in the middle of the body")
@@ -96,6 +96,12 @@
             If the connection fails before the body is complete.
         """
         await self._connection.pump(sink, silence_seconds)
+        await self._finish()
+
+    async def _finish(self) -> None:
+        """Returns the connection to the pool; checks that a body ended by it is complete."""
+        if self._connection.ended and not self.framed:
+            await self._connection.confirm_end()
         self._client.release(self._address, self._connection)
 
     async def read(self, silence_seconds: float | None, limit_bytes: int) -> bytes:
--- a/packages/daemon/src/coltsfoothead/daemon/http/connection.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/connection.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import dataclasses
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Callable
 
 import h11
@@ -28,6 +31,12 @@
 HEAD_TIMEOUT_SECONDS = 2.0
 # Informational responses (1xx) before the response to one request.
 MAX_INFORMATIONAL_RESPONSES = 8
+# After an answer without a length, time within which the server reads the rest of the request, and
+# the time by which a reset that follows the end of its side has arrived.
+READ_REQUEST_SECONDS = 2.0
+RESET_DELAY_SECONDS = 0.005
+# State of a connection in the first byte of Linux's `tcp_info` after a reset.
+_TCP_CLOSE = 7
 # h11's `trailing_data` after a chunk's data when no byte of the next chunk has arrived.
 _TRAILING_DATA_BETWEEN_CHUNKS = (b"\r\n", False)
 
@@ -108,9 +117,12 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Ends the body; the parser detects whether it is complete."""
+        """Ends the body; the parser detects whether it is complete.
+
+        A connection with a request stays open, so that a reset that follows is seen.
+        """
         self._handle_end()
-        return False
+        return not self.idle
 
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the body; after a connection error no further events are parsed."""
@@ -150,6 +162,44 @@
         if self._write_resumed is not None:
             await self._write_resumed
 
+    async def confirm_end(self) -> None:
+        """Checks that the server has ended the connection and not reset it.
+
+        The end of the connection completes a body without a length. A server that closes while it
+        has not read the whole request resets the connection, perhaps right after that end.
+
+        Raises
+        ------
+        UpstreamClosedError
+            If the connection was reset, or the server does not read the rest of the request.
+        """
+        give_up_at = self._loop.time() + READ_REQUEST_SECONDS
+        while True:
+            sent = not self._unread_by_server()
+            await asyncio.sleep(RESET_DELAY_SECONDS)
+            if self._was_reset():
+                raise self._failure or errors.UpstreamClosedError("connection reset after its end")
+            if sent:
+                return
+            if self._loop.time() > give_up_at:
+                raise errors.UpstreamClosedError("connection ended before the request was read")
+
+    def _unread_by_server(self) -> bool:
+        """Returns whether a part of the request was not sent, or not acknowledged."""
+        if self._transport.is_closing():
+            return False
+        if self._transport.get_write_buffer_size():
+            return True
+        tcp_socket = self._transport.get_extra_info("socket")
+        [unacknowledged] = struct.unpack("i", fcntl.ioctl(tcp_socket, termios.TIOCOUTQ, bytes(4)))
+        return unacknowledged > 0
+
+    def _was_reset(self) -> bool:
+        if self._transport.is_closing():
+            return self._failure is not None
+        tcp_socket = self._transport.get_extra_info("socket")
+        return tcp_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == _TCP_CLOSE
+
     def next_buffered_event(self) -> object:
         """Returns the next event in the received data, or `h11.NEED_DATA`."""
         if self._failure is not None:
@@ -199,7 +249,8 @@
             If no byte of it arrives for `timeout_seconds`.
         UpstreamBrokeError
             If the connection fails, if the head is malformed or longer than the parser accepts, if
-            its rest does not arrive in time, or after too many informational responses.
+            its status is invalid, if its rest does not arrive in time, or after too many
+            informational responses.
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_head_event(timeout_seconds)
