Take answers with a status outside of 200 to 599 for broken

Callers saw: 600, 777 and 999 as an upstream had sent them (MIXED: bytes that are no answer of the protocol). 000, 099 and malformed statuses gave 502 before. Cause: the parser accepts each status of three digits from 200 on, and nothing behind it asked. Change: the client fails on such a head, for all its users; an entry also fails on one that a peer of an earlier version relays. Source: RFC 9110, section 15. Before: test_a_status_outside_of_http_is_no_answer fails for 600, 777 and 999 on both routes. After: it passes.

--- a/packages/daemon/src/coltsfoothead/daemon/gateway/relayclient.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/relayclient.py
@@ -10,6 +10,7 @@
 from coltsfoothead.daemon import errors
 from coltsfoothead.daemon.gateway import eventlog, relaymessages
 from coltsfoothead.daemon.http import errors as http_errors
+from coltsfoothead.daemon.http import message
 from coltsfoothead.kernel.traffic import peering
 
 __all__ = ["NotSentError", "RelayClient", "RelayedResponse"]
@@ -199,6 +200,10 @@
                 reading.cancel()
                 raise
             match first:
+                case relaymessages.Head(status=status) if status not in message.FINAL_STATUSES:
+                    # Peers of earlier versions pass such a status on.
+                    reading.cancel()
+                    raise http_errors.UpstreamBrokeError(f"invalid status {status}")
                 case relaymessages.Head():
                     return RelayedResponse(first, items, reading.cancel)
                 case relaymessages.NotSent():
--- a/packages/daemon/src/coltsfoothead/daemon/http/connection.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/connection.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from coltsfoothead.daemon.http import errors
+from coltsfoothead.daemon.http import errors, message
 
 __all__ = ["DEFAULT_KEEP_ALIVE_SECONDS", "Connection", "Endpoint"]
 
@@ -255,6 +255,8 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_head_event(timeout_seconds)
             if isinstance(event, h11.Response):
+                if event.status_code not in message.FINAL_STATUSES:
+                    raise errors.UpstreamBrokeError(f"invalid status {event.status_code}")
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise errors.UpstreamClosedError("connection closed before the answer")
--- a/packages/daemon/src/coltsfoothead/daemon/http/message.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/message.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
-__all__ = ["JSON_TYPE", "Request", "Response", "json_response"]
+__all__ = ["FINAL_STATUSES", "JSON_TYPE", "Request", "Response", "json_response"]
 
 JSON_TYPE = "application/json"
+# Status codes of final responses (RFC 9110, section 15); others make a response invalid.
+FINAL_STATUSES = range(200, 600)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
