Bound the memory of all buffered answers of a process together

Here each answer has a bound, their sum had none. Cause: how many answers are buffered at once was bounded by counts of requests only. Change: buffered answers share a part of the memory that the new table [memory] of the settings names; the largest one that is still being received gives way. coltsfootheadd bounds answers of services likewise.

--- a/packages/daemon/src/coltsfoothead/daemon/callers/services.py
+++ b/packages/daemon/src/coltsfoothead/daemon/callers/services.py
@@ -8,8 +8,8 @@
 
 from coltsfoothead.daemon import metrics as metrics_module
 from coltsfoothead.daemon.callers import access, refusals
+from coltsfoothead.daemon.http import buffers, errors, message
 from coltsfoothead.daemon.http import client as http_client
-from coltsfoothead.daemon.http import errors, message
 from coltsfoothead.kernel import environment
 
 __all__ = ["PATH_PREFIX", "Router", "ServiceCall", "ServiceClient", "build_call", "parse_target"]
@@ -90,6 +90,8 @@
     metrics : Metrics
     answer_limit_bytes : int
         Largest body that a service may return.
+    answer_buffers : BufferPool
+        Memory of the bodies that are being received.
     retry_delay : callable
         Takes the organisation, the number of attempts so far, whether the call is repeatable, and
         the seconds until its timeout. Returns the seconds to wait before another attempt, or None
@@ -104,6 +106,7 @@
         router: Router,
         metrics: metrics_module.Metrics,
         answer_limit_bytes: int,
+        answer_buffers: buffers.BufferPool,
         retry_delay: Callable[[str, int, bool, float], float | None],
         clock: Callable[[], float],
     ) -> None:
@@ -111,6 +114,7 @@
         self._router = router
         self._metrics = metrics
         self._answer_limit_bytes = answer_limit_bytes
+        self._answer_buffers = answer_buffers
         self._retry_delay = retry_delay
         self._clock = clock
 
@@ -154,6 +158,7 @@
         failed = True
         self._router.service_call_started(upstream)
         self._metrics.count("service_attempts")
+        buffer = self._answer_buffers.open()
         try:
             headers = (*call.request.headers, ("x-request-id", call.request_id))
             answer = await self._client.send(
@@ -163,9 +168,10 @@
                 new_connection=not call.repeatable,
             )
             limit = self._answer_limit_bytes
-            body = await answer.read(call.service.timeout_seconds, limit)
+            body = await answer.read(call.service.timeout_seconds, limit, buffer)
             failed = answer.status >= 500
         finally:
+            buffer.close()
             self._router.service_call_ended(upstream, self._clock() - started, failed)
         kept = [each for each in answer.headers if each[0] not in HEADERS_NOT_FORWARDED]
         headers = (*kept, ("x-request-id", call.request_id), ("x-execution", "ran"))
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/entry.py
@@ -43,8 +43,8 @@
 from coltsfoothead.daemon.gateway.sharing import requestshares
 from coltsfoothead.daemon.gateway.speeds import entryside
 from coltsfoothead.daemon.gateway.waiting import room
+from coltsfoothead.daemon.http import buffers, message, server
 from coltsfoothead.daemon.http import client as http_client
-from coltsfoothead.daemon.http import message, server
 from coltsfoothead.kernel import registry
 from coltsfoothead.kernel.rollouts import entry as rollout_entry
 from coltsfoothead.kernel.sharing import entryshares
@@ -209,6 +209,7 @@
             self._origins,
             self._events,
             self._metrics,
+            buffers.BufferPool(configured.memory.answer_bytes),
         )
         self._draining = False
         self._caller_limits = document.CallerLimits()
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/forwarding.py
@@ -16,8 +16,8 @@
     requeststate,
     sending,
 )
+from coltsfoothead.daemon.http import buffers, message, server
 from coltsfoothead.daemon.http import errors as http_errors
-from coltsfoothead.daemon.http import message, server
 from coltsfoothead.kernel.traffic import demandmeter, document, repeats, streamorigins, usage
 
 __all__ = ["Forwarder"]
@@ -60,6 +60,8 @@
     origins : EntryOrigins
     events : EventLog
     metrics : Metrics
+    answer_buffers : BufferPool
+        Memory of the answers of plain services.
     """
 
     def __init__(
@@ -72,7 +74,9 @@
         origins: streamorigins.EntryOrigins,
         events: eventlog.EventLog,
         metrics: metrics_module.Metrics,
+        answer_buffers: buffers.BufferPool,
     ) -> None:
+        self._answer_buffers = answer_buffers
         self._dialect = dialect
         self._admission = request_admission
         self._sender = sender
@@ -186,7 +190,7 @@
         while True:
             try:
                 attempt = await self._sender.attempt(state)
-                response = await self._read_response(attempt)
+                response = await self._read_response(attempt, state)
             except failures.AttemptFailedError as failure:
                 self._sender.versions.record_failure(state, failure)
                 self._sender.ensure_retry(state, failure)
@@ -257,7 +261,7 @@
         content_type = attempt.head.content_type
         continues = state.content_type in (None, content_type)
         if attempt.head.status != 200 or not continues:
-            response = await self._read_response(attempt)
+            response = await self._read_response(attempt, state)
             text = f"status {attempt.head.status}, content type {content_type}"
             raise failures.AttemptFailedError(text, response=response)
 
@@ -330,10 +334,14 @@
                     raise
         await attempt.answer.pump(relay_data, None)
 
-    async def _read_response(self, attempt: sending.Attempt) -> message.Response:
+    async def _read_response(
+        self, attempt: sending.Attempt, state: requeststate.RequestState
+    ) -> message.Response:
         """Reads the whole response of an attempt."""
+        state.close_answer_buffer()
+        state.answer_buffer = self._answer_buffers.open()
         try:
-            body = await attempt.answer.read(None, MAX_RESPONSE_BYTES)
+            body = await attempt.answer.read(None, MAX_RESPONSE_BYTES, state.answer_buffer)
         except http_errors.UpstreamBrokeError as error:
             closed = isinstance(error, http_errors.UpstreamClosedError)
             raise failures.AttemptFailedError(str(error), closed=closed) from error
@@ -411,6 +419,7 @@
             "id": caller_request.id if caller_request is not None else None
         }
         if state is not None:
+            state.close_answer_buffer()
             self._count_outcome(state, outcome)
             self._sender.settle_share(state)
             self._sender.pacing.end(state)
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/relayclient.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/relayclient.py
@@ -9,8 +9,8 @@
 from coltsfoothead.coordination.transport import links as links_module
 from coltsfoothead.daemon import errors
 from coltsfoothead.daemon.gateway import eventlog, relaymessages
+from coltsfoothead.daemon.http import buffers, message
 from coltsfoothead.daemon.http import errors as http_errors
-from coltsfoothead.daemon.http import message
 from coltsfoothead.kernel.traffic import peering
 
 __all__ = ["NotSentError", "RelayClient", "RelayedResponse"]
@@ -85,20 +85,21 @@
                 case _:
                     raise _failure(item)
 
-    async def read(self, silence_seconds: float | None, limit_bytes: int) -> bytes:
-        """Returns the body; raises `UpstreamBrokeError` if it exceeds `limit_bytes`."""
-        body = bytearray()
+    async def read(
+        self, silence_seconds: float | None, limit_bytes: int, buffer: buffers.Buffer
+    ) -> bytes:
+        """Returns the body; raises `UpstreamBrokeError` if it exceeds a limit."""
 
         def collect(content: bytes) -> None:
-            body.extend(content)
-            if len(body) > limit_bytes:
+            buffer.append(content)
+            if buffer.size > limit_bytes:
                 raise http_errors.UpstreamBrokeError(f"answer exceeds {limit_bytes} bytes")
 
         try:
             await self.pump(collect, silence_seconds)
         finally:
             self.close()
-        return bytes(body)
+        return buffer.take()
 
     def close(self) -> None:
         """Ends the answer; one that was not read to its end is cancelled at the upstream."""
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/requeststate.py
@@ -6,7 +6,7 @@
 
 from coltsfoothead.daemon.gateway import ports
 from coltsfoothead.daemon.gateway.waiting import record
-from coltsfoothead.daemon.http import message
+from coltsfoothead.daemon.http import buffers, message
 from coltsfoothead.kernel.pacing import permits
 from coltsfoothead.kernel.rollouts import entry as rollout_entry
 from coltsfoothead.kernel.sharing import entryshares, work
@@ -82,6 +82,8 @@
         To which versions the last attempt may go; None before the first one, or without rollouts.
     sending : Sending or None
         The attempt under way, as rollouts count it.
+    answer_buffer : Buffer or None
+        Body of the last answer that is buffered, until the request ends.
     """
 
     request: message.Request
@@ -122,6 +124,7 @@
     wait: record.WaitRecord | None = None
     choice: rollout_entry.Choice | None = None
     sending: rollout_entry.Sending | None = None
+    answer_buffer: buffers.Buffer | None = None
 
     @property
     def stream_id(self) -> str:
@@ -202,6 +205,12 @@
             or self.longest_pause_seconds > pause_limit
         )
 
+    def close_answer_buffer(self) -> None:
+        """Frees the body of the last answer."""
+        if self.answer_buffer is not None:
+            self.answer_buffer.close()
+            self.answer_buffer = None
+
     def record_event_written(self, now: float) -> None:
         """Records that events were written to the caller at event loop time `now`."""
         if self.attempt_began_at is None:
--- a/packages/daemon/src/coltsfoothead/daemon/gateway/settings.py
+++ b/packages/daemon/src/coltsfoothead/daemon/gateway/settings.py
@@ -73,6 +73,27 @@
     grace_seconds: daemon_settings.Seconds = 8.0
 
 
+class Memory(_Table):
+    """Memory of this process.
+
+    Parameters
+    ----------
+    limit_mb : int
+        Limit at which the process is ended, in MB of 2**20 bytes.
+    answers_share : float
+        Part of the limit that buffered answers of upstreams may take together. An answer that is
+        passed on is in memory up to three times.
+    """
+
+    limit_mb: daemon_settings.Count = 300
+    answers_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.125
+
+    @property
+    def answer_bytes(self) -> int:
+        """Memory for buffered answers, in bytes."""
+        return int(self.answers_share * (self.limit_mb << 20))
+
+
 class Document(_Table):
     """Time within which all entries must refuse a revoked API key."""
 
@@ -197,6 +218,7 @@
     peers: Peers
     announcements: Announcements
     stop: Stop = Stop()
+    memory: Memory = Memory()
     document: Document = Document()
     repeats: Repeats = Repeats()
     usage: Usage = Usage()
--- a/packages/daemon/src/coltsfoothead/daemon/http/client.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/client.py
@@ -6,8 +6,8 @@
 
 import h11
 
+from coltsfoothead.daemon.http import buffers, errors, message
 from coltsfoothead.daemon.http import connection as connection_module
-from coltsfoothead.daemon.http import errors, message
 
 __all__ = ["StreamedResponse", "Client"]
 
@@ -104,17 +104,37 @@
             await self._connection.confirm_end()
         self._client.release(self._address, self._connection)
 
-    async def read(self, silence_seconds: float | None, limit_bytes: int) -> bytes:
-        """Returns the body; raises `UpstreamBrokeError` if it exceeds `limit_bytes`."""
-        body = bytearray()
+    async def read(
+        self,
+        silence_seconds: float | None,
+        limit_bytes: int,
+        buffer: buffers.Buffer | None = None,
+    ) -> bytes:
+        """Returns the body.
+
+        Parameters
+        ----------
+        silence_seconds : float or None
+            Seconds to wait for each read.
+        limit_bytes : int
+            Largest body.
+        buffer : Buffer, optional
+            Holds the body within a limit that all answers share; the caller closes it.
+
+        Raises
+        ------
+        UpstreamBrokeError
+            If the connection fails, or a limit is exceeded.
+        """
+        body = buffer or buffers.BufferPool(limit_bytes + 1).open()
         try:
             async for chunk in self.chunks(silence_seconds):
-                body += chunk
-                if len(body) > limit_bytes:
+                body.append(chunk)
+                if body.size > limit_bytes:
                     raise errors.UpstreamBrokeError(f"answer exceeds {limit_bytes} bytes")
         finally:
             self.close()
-        return bytes(body)
+        return body.take()
 
     def close(self) -> None:
         """Aborts the connection; does nothing if the body was read to its end."""
--- a/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
+++ b/packages/daemon/src/coltsfoothead/daemon/serving/traffic.py
@@ -23,8 +23,8 @@
     servicetraffic,
 )
 from coltsfoothead.daemon.control import loghost, proposer
+from coltsfoothead.daemon.http import buffers, message, server
 from coltsfoothead.daemon.http import client as http_client
-from coltsfoothead.daemon.http import message, server
 from coltsfoothead.daemon.serving import (
     admission,
     generation,
@@ -41,6 +41,9 @@
 
 __all__ = ["Traffic"]
 
+# Memory of the answers of services that are being received.
+ANSWER_BUFFER_BYTES = 64 * 1024 * 1024
+
 EXPIRY_INTERVAL_SECONDS = 5.0
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
 # Minimum drain time, in which the load balancer notices that the daemon is not ready.
@@ -204,6 +207,7 @@
             self.router,
             metrics,
             settings.limits.body_bytes,
+            buffers.BufferPool(max(ANSWER_BUFFER_BYTES, settings.limits.body_bytes)),
             self.admission.retry_delay,
             clock,
         )
