--- a/packages/coordination/tests/test_storage.py
+++ b/packages/coordination/tests/test_storage.py
@@ -7,6 +7,7 @@
 import unittest
 
 import hypothesis
+import storage_builders
 from hypothesis import strategies
 
 from coltsfoothead.coordination.storage import (
@@ -167,6 +168,37 @@
         self.assertIn(last, (synced_term, synced_term + 1))
         self.assertEqual(tuple(reopened.entries), make_entries(reopened.base[0] + 1, last))
 
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    @hypothesis.given(strategies.integers(0, 2**32), strategies.integers(0, 4000))
+    def test_a_full_disk_keeps_what_was_synced(self, seed, room_bytes):
+        """Guards against a replica that cannot start again once its full disk has room.
+
+        Beside appends, the disk fills up while a snapshot is stored and while the folder is opened.
+        """
+        rng = random.Random(seed)
+        data = storage_builders.LimitedDisk(rng)
+        stored = open_folder(data)
+        synced_term = 0
+        for _ in range(3):
+            data.room_bytes = room_bytes
+            with contextlib.suppress(OSError):
+                for last in range(synced_term + 1, synced_term + 9):
+                    entries = make_entries(last, last)
+                    stored.append(schema.HardState(last, ""), entries, {})
+                    synced_term = last
+                    if rng.random() < 0.3:
+                        snapshot = schema.Snapshot(last, 1, {}, b"state" * rng.randint(1, 100))
+                        stored.save_snapshot(snapshot, (last, 1), (), stored.hard_state, {})
+            for data.room_bytes in (0, rng.randint(0, 40), rng.randint(0, 200)):
+                with contextlib.suppress(OSError):
+                    open_folder(data)
+            data.room_bytes = None
+            stored = open_folder(data)
+            last = stored.base[0] + len(stored.entries)
+            self.assertIn(last, (synced_term, synced_term + 1))
+            self.assertEqual(tuple(stored.entries), make_entries(stored.base[0] + 1, last))
+            synced_term = last
+
     def test_crash_while_a_received_snapshot_is_installed(self):
         """Guards against a log that disagrees with a snapshot stored right before a crash."""
         outcomes = set()
