Fail an answer that was discarded before its end was read

Change: a discarded buffer can't be taken. Before: test_a_discarded_answer_is_never_complete fails. After: it passes.

--- a/packages/daemon/src/coltsfoothead/daemon/http/buffers.py
+++ b/packages/daemon/src/coltsfoothead/daemon/http/buffers.py
@@ -44,18 +44,24 @@
             self._data += data
             self._size += len(data)
             self._pool.count(self, len(data))
-        if self._discarded:
-            raise errors.UpstreamBrokeError("the memory for buffered answers is used up")
+        self._ensure_kept()
 
     def take(self) -> bytes:
-        """Returns the content; no more may be appended."""
+        """Returns the content; no more may be appended.
+
+        Raises
+        ------
+        UpstreamBrokeError
+            If this buffer was discarded.
+        """
+        self._ensure_kept()
         content = bytes(self._data)
         self._data.clear()
         self._taken = True
         return content
 
     def discard(self) -> None:
-        """Frees the content; the next part is refused."""
+        """Frees the content, which can no longer be taken."""
         self._discarded = True
         self._data.clear()
         freed, self._size = self._size, 0
@@ -66,6 +72,10 @@
         self.discard()
         self._pool.remove(self)
 
+    def _ensure_kept(self) -> None:
+        if self._discarded:
+            raise errors.UpstreamBrokeError("the memory for buffered answers is used up")
+
 
 class BufferPool:
     """Buffers of all answers that a process is receiving or passing on.
--- a/packages/daemon/tests/test_http_buffers.py
+++ b/packages/daemon/tests/test_http_buffers.py
@@ -19,6 +19,16 @@
             endless.append(b"x")
         self.assertEqual(small.take(), b"y" * 40)
 
+    def test_a_discarded_answer_is_never_complete(self):
+        """Guards against an empty body in place of an answer that ended after it was discarded."""
+        complete, growing = self.pool.open(), self.pool.open()
+        complete.append(b"x" * 60)
+        growing.append(b"y" * 50)
+        with self.assertRaises(errors.UpstreamBrokeError):
+            complete.take()
+        complete.close()
+        self.assertEqual(growing.take(), b"y" * 50)
+
     def test_many_endless_answers_stay_within_the_limit(self):
         """Guards against a sum of answers that ends the process, though each has a bound."""
         opened = [self.pool.open() for _ in range(50)]
