--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -204,24 +204,6 @@
     def signal(self, ip, number):
         self.processes[ip].send_signal(number)
 
-    def kill(self, ip):
-        process = self.processes.pop(ip)
-        process.kill()
-        process.wait()
-
-    def rss_mb(self, ip):
-        """Returns the resident memory of a process in MB of 2^20 bytes, or 0 if it has ended."""
-        try:
-            status = pathlib.Path(f"/proc/{self.processes[ip].pid}/status").read_text()
-        except (OSError, KeyError):
-            return 0.0
-        match = re.search(r"VmRSS:\s+(\d+) kB", status)
-        return int(match.group(1)) / 1024 if match else 0.0
-
-    def log(self, ip):
-        path = self.folder / f"{ip}.log"
-        return path.read_text(encoding="utf-8", errors="replace") if path.exists() else ""
-
     def stop(self):
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
